--- /dev/null
+++ b/src/main/java/beaconladder/Logic.java
@@ -0,0 +1,573 @@
+package beaconladder;
+
+import beaconladder.api.Pause;
+import beaconladder.api.Router;
+import beaconladder.api.Verdict;
+import beaconladder.fleet.Group;
+import beaconladder.fleet.Host;
+import beaconladder.fleet.Session;
+import beaconladder.fleet.Submission;
+import beaconladder.fleet.Txn;
+import beaconladder.fleet.TxnType;
+import beaconladder.fleet.TxnType.Effect;
+import beaconladder.fleet.TxnType.Read;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+
+/**
+ * Every decision of one router; the interface is {@link Router}, and docs/design.md tells why it decides so.
+ *
+ * <p>How to call it: make one instance a router from the seed and the start-up settings. Tell it of the roster with
+ * {@link #listed}. Ask {@link #place} for each txn that comes in, and do what the verdict says; once the caller has
+ * sent a submission it adds it to the txn and to the host, and hands its end to {@link #after}. When all that is
+ * known at one time has been told, ask {@link #pause}: probe the members it names, ask {@link #place} again for the
+ * txns it names, and repeat until it names none; then come back at its time or with the next news. A verdict of
+ * WAIT leaves the txn here; after DECLINE, ROLL_BACK and DONE it has had its final answer.
+ */
+public final class Logic implements Router {
+    private static final long MS = 1_000_000L;
+    private static final long NEVER = Long.MAX_VALUE;
+    private static final long UNBOUND = Long.MIN_VALUE;
+
+    private final SplittableRandom chance;
+    private final Map<String, String> start;
+    private final List<TxnType> types;
+    private final double topValue;
+    private final Set<Group> groups = new LinkedHashSet<>();
+    private final TreeSet<Txn> agenda =
+            new TreeSet<>(Comparator.<Txn>comparingLong(t -> t.look).thenComparingLong(t -> t.number));
+    private final LinkedHashMap<Long, Session> sessions = new LinkedHashMap<>(64, 0.75f, true);
+    private long probeLook = NEVER;
+
+    public Logic(long seed, Map<String, String> start) {
+        this.chance = new SplittableRandom(seed);
+        this.start = start;
+        this.types = TxnType.read(start);
+        this.topValue = types.stream().mapToDouble(TxnType::value).max().orElse(1);
+    }
+
+    @Override
+    public TxnType type(int place) {
+        return types.get(place);
+    }
+
+    // ---- The first question: where to send this txn ------------------------------------------------------------
+
+    @Override
+    public Verdict place(Txn txn, long now) {
+        if (!txn.known) {
+            txn.known = true;
+            txn.target = sessionTarget(txn);
+        }
+        drop(txn);
+        Verdict verdict = decide(txn, now);
+        if (verdict.step() == Verdict.Step.SEND) {
+            noteSend(verdict.host(), now);
+            schedule(txn, now + usual(verdict.host()));
+        }
+        return verdict;
+    }
+
+    private Verdict decide(Txn txn, long now) {
+        int out = txn.out();
+        Submission ran = txn.mayHaveRun();
+        // Rule 2: what may have run is repeated only where its repeat does no harm.
+        if (ran != null && txn.type.effect() == Effect.ONCE_ONLY
+                || ran != null && txn.type.effect() == Effect.REFERENCED && now - ran.sent >= txn.type.memory()) {
+            return out > 0 ? Verdict.waiting() : Verdict.rollBack(List.of());
+        }
+        if (out > 0) {
+            return copy(txn, now);
+        }
+        if (txn.submissions.size() >= mostSubmissions(txn) || now >= lastUse(txn)) {
+            return giveUp(txn);
+        }
+        Host host = choose(txn, now);
+        if (host != null) {
+            return Verdict.send(host, timeout(txn, now));
+        }
+        txn.group.held.add(txn);
+        schedule(txn, nextLook(txn, now));
+        return Verdict.waiting();
+    }
+
+    /** The host that gets this txn now, or null: it waits. */
+    private Host choose(Txn txn, long now) {
+        Read read = txn.type.read();
+        if (read == Read.WRITE || read == Read.CURRENT) {
+            return primaryFor(txn, now);
+        }
+        Host replica = replicaFor(txn, now);
+        if (replica == null && now >= release(txn) && !anyFresh(txn, now)) {
+            return primaryFor(txn, now);
+        }
+        return replica;
+    }
+
+    /** The design's two-choice pick among the replicas known to meet the target. */
+    private Host replicaFor(Txn txn, long now) {
+        long target = target(txn, now);
+        List<Host> fit = new ArrayList<>();
+        for (Host host : txn.group.members) {
+            if (fresh(host, target) && !tried(txn, host) && roomFor(host, txn, now) && coldAllows(host, now)
+                    && trusted(host, now)) {
+                fit.add(host);
+            }
+        }
+        if (fit.size() < 2) {
+            return fit.isEmpty() ? null : fit.get(0);
+        }
+        int i = chance.nextInt(fit.size());
+        int j = chance.nextInt(fit.size() - 1);
+        Host a = fit.get(i);
+        Host b = fit.get(j >= i ? j + 1 : j);
+        return b.out.size() < a.out.size() ? b : a;
+    }
+
+    private Host primaryFor(Txn txn, long now) {
+        Host primary = txn.group.primary;
+        if (primary == null || primary.state != Host.State.READY || tried(txn, primary)
+                || !roomFor(primary, txn, now) || !coldAllows(primary, now) || !trusted(primary, now)) {
+            return null;
+        }
+        return primary;
+    }
+
+    private boolean fresh(Host host, long target) {
+        return host.state == Host.State.READY && host != host.group.primary && host.met && host.position >= target;
+    }
+
+    private boolean anyFresh(Txn txn, long now) {
+        long target = target(txn, now);
+        for (Host host : txn.group.members) {
+            if (fresh(host, target)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean tried(Txn txn, Host host) {
+        for (Submission s : txn.submissions) {
+            if (s.host == host && !s.ended) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The position that a replica must have reached at this moment. Rule 5: a bound is judged at the send. */
+    private long target(Txn txn, long now) {
+        return switch (txn.type.read()) {
+            case BOUNDED -> now - txn.type.bound();
+            case SESSION -> txn.target;
+            default -> UNBOUND;
+        };
+    }
+
+    private long sessionTarget(Txn txn) {
+        if (txn.type.read() != Read.SESSION) {
+            return UNBOUND;
+        }
+        if (!"router".equals(start.get("family_info.session_marks"))) {
+            return txn.sinceWrite > 0 ? txn.arrived - txn.sinceWrite : UNBOUND;
+        }
+        Session session = sessions.get(txn.session);
+        return session != null ? session.commit : txn.group.forgotten;
+    }
+
+    private void remember(Txn txn, long commit) {
+        if (txn.session == 0 || !"router".equals(start.get("family_info.session_marks"))) {
+            return;
+        }
+        Session session = sessions.computeIfAbsent(txn.session, k -> new Session());
+        session.group = txn.group;
+        session.commit = Math.max(session.commit, commit);
+        // 50,000 sessions are a few megabytes; what is forgotten still binds, as the newest commit forgotten.
+        if (sessions.size() > 50_000) {
+            Session eldest = sessions.remove(sessions.keySet().iterator().next());
+            eldest.group.forgotten = Math.max(eldest.group.forgotten, eldest.commit);
+        }
+    }
+
+    // ---- Time ---------------------------------------------------------------------------------------------------
+
+    private long slaEnd(Txn txn) {
+        return Math.min(txn.arrived + txn.type.sla(), txn.expiry);
+    }
+
+    /** The design's default: a held read goes to the primary one SLA time before its expiry. */
+    private long release(Txn txn) {
+        return txn.expiry - txn.type.sla();
+    }
+
+    /** From here on a txn that is not out can earn nothing more; two ticks remain to answer it. */
+    private long lastUse(Txn txn) {
+        long end = txn.type.late() > 0 ? txn.expiry : slaEnd(txn);
+        return Math.min(end - txn.group.times.quantile(0.2), txn.expiry - 2 * Long.parseLong(
+                start.getOrDefault("round_us", "5000")) * 1_000);
+    }
+
+    /** Late answers that earn nothing are not waited for. */
+    private long timeout(Txn txn, long now) {
+        return (txn.type.late() > 0 || txn.type.effect() != Effect.REPEATABLE ? txn.expiry : slaEnd(txn)) - now;
+    }
+
+    private long nextLook(Txn txn, long now) {
+        long look = lastUse(txn);
+        if (now < release(txn)) {
+            look = Math.min(look, release(txn));
+        }
+        // Draws for doubtful hosts and the budget of cold ones change with time alone.
+        return Math.max(now + 5 * MS, Math.min(look, now + 100 * MS));
+    }
+
+    /** The usual time of an answer from this host. */
+    private long usual(Host host) {
+        double mean = host.times.size() >= 4 ? host.times.mean() : host.group.times.mean();
+        return mean == 0 ? 200 * MS : Math.max(20 * MS, (long) mean);
+    }
+
+    // ---- Load ---------------------------------------------------------------------------------------------------
+
+    /**
+     * Whether this host would answer one more txn in time: its recent times, scaled by the submissions of this
+     * router out there now against those out there then.
+     */
+    private boolean roomFor(Host host, Txn txn, long now) {
+        int n = host.out.size();
+        if (n < 2) {
+            return true;
+        }
+        if (host.times.size() < 4) {
+            return n < 4;
+        }
+        double expected = host.times.mean() * (n + 1) / Math.max(1, host.times.meanBeside());
+        long left = (now < slaEnd(txn) ? slaEnd(txn) : txn.expiry) - now;
+        // Times spread to about twice their mean; six tenths leave most answers inside.
+        return expected <= 0.6 * left;
+    }
+
+    /**
+     * Rule 4: a cold host gets no more than its share of what this router sends to a warm member of the group. Warm
+     * members bear that load, so all routers together stay under the cold host's present capacity.
+     */
+    private boolean coldAllows(Host host, long now) {
+        long warm = micros("rules.warm_within_us");
+        if (host.launched <= 0 || now >= host.launched + warm) {
+            return true;
+        }
+        long window = micros("rules.fall_us");
+        double cold = Double.parseDouble(start.getOrDefault("rules.cold_share", "0"));
+        double share = cold + (1 - cold) * Math.max(0, now - host.launched) / warm;
+        int sends = 0;
+        int members = 0;
+        for (Host h : host.group.members) {
+            if (h != host && h.state == Host.State.READY && now >= h.launched + warm) {
+                sends += sendsSince(h, now - window);
+                members++;
+            }
+        }
+        return sendsSince(host, now - window) + 1 <= Math.max(1, share * sends / Math.max(1, members));
+    }
+
+    private int sendsSince(Host host, long time) {
+        while (!host.sends.isEmpty() && host.sends.peekFirst() < time) {
+            host.sends.removeFirst();
+        }
+        return host.sends.size();
+    }
+
+    private void noteSend(Host host, long now) {
+        sendsSince(host, now - micros("rules.fall_us"));
+        host.sends.addLast(now);
+    }
+
+    private long micros(String name) {
+        return Long.parseLong(start.getOrDefault(name, "0")) * 1_000;
+    }
+
+    // ---- Health -------------------------------------------------------------------------------------------------
+
+    /**
+     * How much the silence of a host speaks against it: the waiting of all submissions out there since it last
+     * spoke, in usual times. Answers that come at random at the usual rate stay silent so long with chance e^-x.
+     */
+    private double silence(Host host, long now) {
+        double waited = 0;
+        for (Submission s : host.out) {
+            waited += now - Math.max(s.sent, host.lastHeard);
+        }
+        return waited / usual(host);
+    }
+
+    /** Chance e^-6 a look: a heavy txn alone at a host is still given six usual times. */
+    private boolean doubtful(Host host, long now) {
+        return silence(host, now) > 6 || host.ends.size() > 0 && host.ends.sumSince(host.lastHeard) == 0
+                && host.ends.since(host.lastHeard) > 0;
+    }
+
+    /** A doubtful host gets one txn at a time, drawn from the posterior of its chance of success. */
+    private boolean trusted(Host host, long now) {
+        if (!doubtful(host, now)) {
+            return true;
+        }
+        // Four draws a second at most, so that many held txns don't draw until one wins.
+        if (!host.out.isEmpty() || now < host.drawn + 250 * MS) {
+            return false;
+        }
+        host.drawn = now;
+        int good = (int) host.ends.sumSince(now - 5_000 * MS);
+        int bad = host.ends.since(now - 5_000 * MS) - good;
+        return chance.nextDouble() < beta(1 + good, 1 + bad);
+    }
+
+    /** A draw from Beta(a, b) for whole a and b: the a-th smallest of a + b - 1 uniform draws. */
+    private double beta(int a, int b) {
+        double[] draws = new double[a + b - 1];
+        for (int i = 0; i < draws.length; i++) {
+            draws[i] = chance.nextDouble();
+        }
+        java.util.Arrays.sort(draws);
+        return draws[a - 1];
+    }
+
+    /** Further submissions go by value: one for the least, four for the most. */
+    private int mostSubmissions(Txn txn) {
+        int most = Integer.parseInt(start.getOrDefault("limits.max_attempts", "1"));
+        return Math.min(most, 2 + (int) Math.round(3 * txn.type.value() / topValue));
+    }
+
+    /** A repeatable txn that is out at hosts gone silent gets a second copy elsewhere. */
+    private Verdict copy(Txn txn, long now) {
+        if (txn.type.effect() != Effect.REPEATABLE || !"true".equals(start.get("limits.second_copies"))
+                || txn.submissions.size() >= mostSubmissions(txn) || now >= lastUse(txn)) {
+            return Verdict.waiting();
+        }
+        for (Submission s : txn.submissions) {
+            if (!s.ended && !doubtful(s.host, now)) {
+                schedule(txn, now + usual(s.host));
+                return Verdict.waiting();
+            }
+        }
+        Host host = choose(txn, now);
+        if (host != null) {
+            return Verdict.send(host, timeout(txn, now));
+        }
+        schedule(txn, now + 50 * MS);
+        return Verdict.waiting();
+    }
+
+    private Verdict giveUp(Txn txn) {
+        Submission ran = txn.mayHaveRun();
+        Effect effect = txn.type.effect();
+        if (ran == null || effect == Effect.REPEATABLE
+                || effect == Effect.REFERENCED && txn.type.scope() == TxnType.Scope.ALL) {
+            long advice = "true".equals(start.get("limits.retry_after"))
+                    ? Math.min(micros("limits.max_retry_after_us"), txn.type.sla()) : 0;
+            return Verdict.decline(advice, List.of());
+        }
+        return Verdict.rollBack(List.of());
+    }
+
+    // ---- The second question: what to do after this outcome -----------------------------------------------------
+
+    @Override
+    public Verdict after(Submission s, Outcome outcome, boolean settled, Word answer, Word report, long now) {
+        Host host = s.host;
+        s.ended = true;
+        s.neverRan = outcome.provesNotRun();
+        host.out.remove(s);
+        host.group.changed = true;
+        if (outcome.fromHost()) {
+            host.met = true;
+            host.lastHeard = now;
+            host.ends.add(1, 0, now);
+            if (outcome == Outcome.COMMITTED) {
+                host.times.add(now - s.sent, s.beside, now);
+                host.group.times.add(now - s.sent, s.beside, now);
+            } else if (outcome == Outcome.FULL) {
+                // A full host is one whose queue would take longer than the SLA time.
+                host.times.add(Math.max(now - s.sent, s.txn.type.sla()), s.beside, now);
+            }
+        } else if (outcome == Outcome.TIMED_OUT || outcome == Outcome.RESET || outcome == Outcome.UNREACHABLE) {
+            if (host.lastHeard < s.sent) {
+                host.ends.add(0, 0, now);
+            }
+            if (outcome == Outcome.TIMED_OUT) {
+                host.times.add(now - s.sent, s.beside, now);
+            }
+        }
+        hear(host, answer, true, now);
+        hear(host, report, false, now);
+        Txn txn = s.txn;
+        if (outcome == Outcome.COMMITTED && txn.type.read() == Read.WRITE) {
+            remember(txn, answer.position() == Word.NONE ? now : answer.position());
+        }
+        if (txn.ended) {
+            return Verdict.waiting();
+        }
+        if (settled) {
+            drop(txn);
+            return Verdict.done(othersOut(txn));
+        }
+        return place(txn, now);
+    }
+
+    /** Copies that are out when the answer is there are called off. */
+    private List<Submission> othersOut(Txn txn) {
+        List<Submission> others = new ArrayList<>();
+        if ("true".equals(start.get("limits.cancel"))) {
+            for (Submission s : txn.submissions) {
+                if (!s.ended) {
+                    others.add(s);
+                }
+            }
+        }
+        return others;
+    }
+
+    // ---- The record of positions and roles ----------------------------------------------------------------------
+
+    private void hear(Host host, Word word, boolean direct, long now) {
+        Group group = host.group;
+        if (word.position() > host.position) {
+            host.position = word.position();
+            group.changed = true;
+        }
+        if (word.inHand() >= 0) {
+            host.inHand = word.inHand();
+            host.inHandAt = now;
+        }
+        long stamp = word.position() == Word.NONE ? now : word.position();
+        if (word.role() == Role.PRIMARY && stamp >= group.primaryAt) {
+            group.primaryAt = stamp;
+            group.primary = host;
+        } else if (word.role() == Role.REPLICA && group.primary == host && (direct || stamp > group.primaryAt)) {
+            group.primary = null;
+        }
+    }
+
+    @Override
+    public void probed(Host host, Outcome outcome, Word report, long now) {
+        host.probeOut = false;
+        host.group.changed = true;
+        if (outcome == Outcome.COMMITTED) {
+            host.met = true;
+            hear(host, report, false, now);
+        }
+    }
+
+    @Override
+    public void listed(Host host, boolean leader, Host.State state, long launched, long now) {
+        Group group = host.group;
+        group.changed = true;
+        if (!group.members.contains(host)) {
+            groups.add(group);
+            group.members.add(host);
+            host.launched = launched;
+        } else if (launched > host.launched) {
+            // A restart: what was known of its health and role is void; positions stay true.
+            host.launched = launched;
+            host.met = false;
+            host.ends.clear();
+            host.times.clear();
+            if (group.primary == host) {
+                group.primary = null;
+            }
+        }
+        host.state = state;
+        if (leader && group.namedByRoster != host) {
+            group.namedByRoster = host;
+            if (group.primary == null || group.primary.state != Host.State.READY || doubtful(group.primary, now)) {
+                group.primary = host;
+            }
+        }
+    }
+
+    @Override
+    public void left(Txn txn, long now) {
+        drop(txn);
+    }
+
+    // ---- The third question: how long to wait -------------------------------------------------------------------
+
+    @Override
+    public Pause pause(long now) {
+        Set<Txn> again = new LinkedHashSet<>();
+        while (!agenda.isEmpty() && agenda.first().look <= now) {
+            Txn txn = agenda.pollFirst();
+            txn.look = NEVER;
+            again.add(txn);
+        }
+        for (Group group : groups) {
+            if (group.changed) {
+                group.changed = false;
+                again.addAll(group.held);
+            }
+        }
+        List<Txn> order = new ArrayList<>(again);
+        order.sort(Comparator.<Txn>comparingDouble(t -> -worth(t, now)).thenComparingLong(this::slaEnd)
+                .thenComparingLong(t -> t.number));
+        List<Host> probes = probes(now);
+        long until = agenda.isEmpty() ? NEVER : agenda.first().look;
+        return new Pause(Math.min(until, probeLook), probes, order);
+    }
+
+    /** What an answer would still earn. */
+    private double worth(Txn txn, long now) {
+        return now < slaEnd(txn) ? txn.type.value() : txn.type.value() * txn.type.late();
+    }
+
+    /** Members to ask: those not met yet, and those whose position or role a held txn waits for. */
+    private List<Host> probes(long now) {
+        List<Host> ask = new ArrayList<>();
+        probeLook = NEVER;
+        for (Group group : groups) {
+            long wanted = NEVER;
+            boolean lost = false;
+            for (Txn txn : group.held) {
+                boolean needsPrimary = txn.type.read() == Read.WRITE || txn.type.read() == Read.CURRENT;
+                lost |= needsPrimary && (group.primary == null || group.primary.state != Host.State.READY
+                        || doubtful(group.primary, now));
+                if (!needsPrimary && !anyFresh(txn, now)) {
+                    wanted = Math.min(wanted, target(txn, now));
+                }
+            }
+            for (Host host : group.members) {
+                boolean behind = wanted != NEVER && host.position < wanted && host != group.primary;
+                if (host.state != Host.State.READY || host.probeOut || host.met && !behind && !lost) {
+                    continue;
+                }
+                // Reports are refreshed every 50 to 250 ms, so asking more often than 100 ms brings little.
+                if (host.probeSent != Long.MIN_VALUE && now < host.probeSent + 100 * MS) {
+                    probeLook = Math.min(probeLook, host.probeSent + 100 * MS);
+                    continue;
+                }
+                host.probeOut = true;
+                host.probeSent = now;
+                ask.add(host);
+            }
+        }
+        return ask;
+    }
+
+    private void schedule(Txn txn, long look) {
+        agenda.remove(txn);
+        txn.look = look;
+        agenda.add(txn);
+    }
+
+    private void drop(Txn txn) {
+        agenda.remove(txn);
+        txn.look = NEVER;
+        txn.group.held.remove(txn);
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/api/Router.java
@@ -0,0 +1,71 @@
+package beaconladder.api;
+
+import beaconladder.fleet.Host;
+import beaconladder.fleet.Submission;
+import beaconladder.fleet.Txn;
+import beaconladder.fleet.TxnType;
+
+/**
+ * The decisions of one router, asked like a client library: three questions and a few plain notices.
+ *
+ * <p>Every call carries the clock, in nanoseconds, which never runs backwards. An instance belongs to one router
+ * and one thread.
+ */
+public interface Router {
+
+    /** What is known of a host's role from an answer or a report. */
+    enum Role { UNKNOWN, PRIMARY, REPLICA }
+
+    /** How a submission or a probe ended. */
+    enum Outcome {
+        COMMITTED, ERROR, FULL, TIMED_OUT, UNREACHABLE, RESET, CANCELLED, MOOT, MISS;
+
+        /** Whether this outcome proves that the submission never ran. */
+        public boolean provesNotRun() {
+            return this == FULL || this == UNREACHABLE || this == MOOT || this == MISS;
+        }
+
+        /** Whether the host itself spoke. */
+        public boolean fromHost() {
+            return this == COMMITTED || this == ERROR || this == FULL || this == MISS;
+        }
+    }
+
+    /**
+     * What a host said of itself.
+     *
+     * @param role     its role, or {@link Role#UNKNOWN}
+     * @param position the log position it has applied, in nanoseconds on the routers' clock, or {@link #NONE}
+     * @param inHand   txns it holds, or a negative number where it did not say
+     */
+    record Word(Role role, long position, double inHand) {
+        public static final long NONE = Long.MIN_VALUE;
+        public static final Word SILENT = new Word(Role.UNKNOWN, NONE, -1);
+    }
+
+    /** The txn type at this place of the list handed over at start. */
+    TxnType type(int place);
+
+    /** First question: where to send this txn, now; or not yet, or never. */
+    Verdict place(Txn txn, long now);
+
+    /**
+     * Second question: what to do after this outcome.
+     *
+     * @param answer what the answer itself says (exact when it was given)
+     * @param report a report that came along, of some age
+     */
+    Verdict after(Submission submission, Outcome outcome, boolean settled, Word answer, Word report, long now);
+
+    /** Third question: how long to wait; names the members to probe and the txns to ask about again. */
+    Pause pause(long now);
+
+    /** The roster lists a host (or no longer does: then its state is gone). */
+    void listed(Host host, boolean leader, Host.State state, long launched, long now);
+
+    /** A probe came back. */
+    void probed(Host host, Outcome outcome, Word report, long now);
+
+    /** The client of this txn has left. */
+    void left(Txn txn, long now);
+}
--- /dev/null
+++ b/src/main/java/beaconladder/drill/Instance.java
@@ -0,0 +1,278 @@
+package beaconladder.drill;
+
+import beaconladder.Logic;
+import beaconladder.api.Pause;
+import beaconladder.api.Router;
+import beaconladder.api.Router.Outcome;
+import beaconladder.api.Router.Role;
+import beaconladder.api.Router.Word;
+import beaconladder.api.Verdict;
+import beaconladder.fleet.Group;
+import beaconladder.fleet.Host;
+import beaconladder.fleet.Submission;
+import beaconladder.fleet.Txn;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** One instance on the wire: keeps its txns in hand and its timer, and passes questions and answers. */
+final class Instance {
+    private static final long LONGEST_TIMER_MICROS = 71L * 60 * 1_000_000;
+
+    final long number;
+    boolean touched;
+
+    private final Reply reply;
+    private Router router;
+    private Map<Integer, Host> hosts = Map.of();
+    private Map<Integer, Group> groups = Map.of();
+    private Map<Long, Txn> txns = Map.of();
+    private long zeroMicros;
+    private int positionField;
+    private int primaryField;
+    private int inHandField;
+    private boolean asks;
+    private long taken;
+    private long timerHandle;
+    private long timerAt;
+
+    Instance(long number, Reply reply) {
+        this.number = number;
+        this.reply = reply;
+    }
+
+    void start(long seed, String settings, long clock) {
+        Map<String, String> start = new LinkedHashMap<>();
+        settings.lines().forEach(line -> {
+            int at = line.indexOf('=');
+            if (at > 0) {
+                start.put(line.substring(0, at), line.substring(at + 1));
+            }
+        });
+        hosts = new LinkedHashMap<>();
+        groups = new LinkedHashMap<>();
+        txns = new HashMap<>();
+        zeroMicros = Long.parseLong(start.getOrDefault("family_info.position_zero_us", "0"));
+        List<String> fields = Arrays.asList(start.getOrDefault("load_report.fields", "").split(","));
+        positionField = fields.indexOf("x0");
+        primaryField = fields.indexOf("x1");
+        inHandField = fields.indexOf("rif");
+        asks = "ask".equals(start.get("discovery"));
+        taken = 0;
+        timerAt = Long.MAX_VALUE;
+        router = new Logic(seed, start);
+        if (asks) {
+            reply.tail();
+        }
+    }
+
+    void shutdown() {
+        router = null;
+        hosts = Map.of();
+        groups = Map.of();
+        txns = Map.of();
+    }
+
+    void view(boolean whole, List<Drill.Entry> entries, long clock) {
+        if (router == null) {
+            return;
+        }
+        guard(() -> {
+            Set<Integer> named = new HashSet<>();
+            for (Drill.Entry e : entries) {
+                named.add(e.host());
+                Group group = groups.computeIfAbsent(e.group(), Group::new);
+                Host host = hosts.computeIfAbsent(e.host(), id -> new Host(id, group, e.zone()));
+                Host.State state = switch (e.state()) {
+                    case 1 -> Host.State.READY;
+                    case 2 -> Host.State.DRAINING;
+                    default -> Host.State.GONE;
+                };
+                router.listed(host, e.leader(), state, e.launchedMicros() * 1_000, clock * 1_000);
+            }
+            if (whole) {
+                for (Host host : hosts.values()) {
+                    if (!named.contains(host.id) && host.state != Host.State.GONE) {
+                        router.listed(host, false, Host.State.GONE, host.launched, clock * 1_000);
+                    }
+                }
+            }
+        });
+    }
+
+    void viewFailed() {
+        if (router != null && asks) {
+            reply.tail();
+        }
+    }
+
+    void request(long call, int type, long session, float sinceWriteMillis, int tenant, int group, long budget,
+            boolean repeated, long clock) {
+        if (router == null) {
+            return;
+        }
+        guard(() -> {
+            long now = clock * 1_000;
+            // The age of a write is rounded down, that is, toward the newer position.
+            long sinceWrite = sinceWriteMillis > 0 ? Math.max(1, (long) (Math.nextDown(sinceWriteMillis) * 1e6)) : 0;
+            Txn txn = new Txn(call, router.type(type), groups.computeIfAbsent(group, Group::new), session, sinceWrite,
+                    tenant, repeated, now, now + budget * 1_000, taken++);
+            txns.put(call, txn);
+            act(txn, router.place(txn, now), now);
+        });
+    }
+
+    void done(long call, int copy, int reason, boolean settled, long note, float[] pressure, long clock) {
+        Submission submission = find(call, copy);
+        if (submission == null || submission.ended) {
+            return;
+        }
+        guard(() -> {
+            long now = clock * 1_000;
+            Word answer = note == 0 ? Word.SILENT
+                    : new Word(note % 4 == 1 ? Role.PRIMARY : note % 4 == 2 ? Role.REPLICA : Role.UNKNOWN,
+                            note / 4 == 0 ? Word.NONE : zeroMicros * 1_000 + note / 4 * 1_000_000, -1);
+            Txn txn = submission.txn;
+            act(txn, router.after(submission, outcome(reason), settled, answer, word(pressure), now), now);
+            if (txn.ended && txn.out() == 0) {
+                txns.remove(call);
+            }
+        });
+    }
+
+    void sampled(int host, int reason, float[] pressure, long clock) {
+        Host of = hosts.get(host);
+        if (router != null && of != null) {
+            guard(() -> router.probed(of, outcome(reason), word(pressure), clock * 1_000));
+        }
+    }
+
+    void left(long call, long clock) {
+        Txn txn = txns.get(call);
+        if (txn != null && !txn.ended) {
+            guard(() -> {
+                txn.ended = true;
+                router.left(txn, clock * 1_000);
+                if (txn.out() == 0) {
+                    txns.remove(call);
+                }
+            });
+        }
+    }
+
+    void timer(long handle) {
+        if (handle == timerHandle) {
+            timerAt = Long.MAX_VALUE;
+        }
+    }
+
+    /** All events of a batch are in: asks how long to wait, and about those due. */
+    void settle(long clock) {
+        if (router == null) {
+            return;
+        }
+        guard(() -> {
+            long now = clock * 1_000;
+            Pause pause = router.pause(now);
+            while (true) {
+                for (Host host : pause.probe()) {
+                    reply.healthCheck(host.id);
+                }
+                if (pause.again().isEmpty()) {
+                    break;
+                }
+                for (Txn txn : pause.again()) {
+                    if (!txn.ended) {
+                        act(txn, router.place(txn, now), now);
+                    }
+                }
+                pause = router.pause(now);
+            }
+            if (pause.until() < timerAt) {
+                timerAt = pause.until();
+                long micros = (Math.max(1_000, pause.until() - now) + 999) / 1_000;
+                reply.wakeMe(++timerHandle, Math.min(micros, LONGEST_TIMER_MICROS));
+            }
+        });
+    }
+
+    private void act(Txn txn, Verdict verdict, long now) {
+        for (Submission s : verdict.cancel()) {
+            reply.dropAttempt(s.txn.id, s.number);
+        }
+        switch (verdict.step()) {
+            case SEND -> {
+                Host host = verdict.host();
+                Submission s = new Submission(txn, txn.submissions.size(), host, now, host.out.size() + 1);
+                txn.submissions.add(s);
+                host.out.add(s);
+                reply.issue(txn.id, host.id, Math.max(1, verdict.timeout() / 1_000));
+            }
+            case DECLINE -> {
+                reply.sayNo(txn.id, verdict.comeBack() / 1_000);
+                end(txn);
+            }
+            case ROLL_BACK -> {
+                reply.fail(txn.id);
+                end(txn);
+            }
+            case DONE -> end(txn);
+            case WAIT -> { }
+        }
+    }
+
+    private void end(Txn txn) {
+        txn.ended = true;
+        if (txn.out() == 0) {
+            txns.remove(txn.id);
+        }
+    }
+
+    private Submission find(long call, int copy) {
+        Txn txn = txns.get(call);
+        return txn == null || copy >= txn.submissions.size() ? null : txn.submissions.get(copy);
+    }
+
+    private Word word(float[] pressure) {
+        if (positionField >= pressure.length && primaryField >= pressure.length || pressure.length == 0) {
+            return Word.SILENT;
+        }
+        long position = Word.NONE;
+        if (positionField >= 0 && positionField < pressure.length) {
+            // One step down, since the nearest float may lie above the true position.
+            position = zeroMicros * 1_000 + (long) (Math.nextDown(pressure[positionField]) * 1e9);
+        }
+        Role role = primaryField < 0 || primaryField >= pressure.length ? Role.UNKNOWN
+                : pressure[primaryField] >= 0.5f ? Role.PRIMARY : Role.REPLICA;
+        double inHand = inHandField < 0 || inHandField >= pressure.length ? -1 : pressure[inHandField];
+        return new Word(role, position, inHand);
+    }
+
+    private static Outcome outcome(int reason) {
+        return switch (reason) {
+            case 0 -> Outcome.COMMITTED;
+            case 1 -> Outcome.CANCELLED;
+            case 4 -> Outcome.TIMED_OUT;
+            case 5 -> Outcome.MISS;
+            case 8 -> Outcome.FULL;
+            case 9 -> Outcome.MOOT;
+            case 10 -> Outcome.RESET;
+            case 14 -> Outcome.UNREACHABLE;
+            default -> Outcome.ERROR;
+        };
+    }
+
+    /** A fault in the decisions ends the day with its text. */
+    private void guard(Runnable call) {
+        try {
+            call.run();
+        } catch (RuntimeException e) {
+            StackTraceElement[] trace = e.getStackTrace();
+            reply.bailOut(e + (trace.length > 0 ? " at " + trace[0] : ""));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/fleet/Group.java
@@ -0,0 +1,31 @@
+package beaconladder.fleet;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** A primary and its replicas. */
+public final class Group {
+    public final int number;
+    /** All members that the roster has ever named, in the order in which they were named. */
+    public final List<Host> members = new ArrayList<>();
+    /** The member taken for the primary, or null. */
+    public Host primary;
+    /** The newest position at which a member said that it is the primary. */
+    public long primaryAt = Long.MIN_VALUE;
+    /** The member that the roster last named as primary. */
+    public Host namedByRoster;
+    /** Txns that wait at this router. */
+    public final Set<Txn> held = new LinkedHashSet<>();
+    /** Whether anything has changed for them since they were last looked at. */
+    public boolean changed;
+    /** Newest commit among the sessions that are no longer remembered one by one. */
+    public long forgotten = Long.MIN_VALUE;
+    /** Times of recent answers from all members. */
+    public final Samples times = new Samples(48);
+
+    public Group(int number) {
+        this.number = number;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/fleet/Host.java
@@ -0,0 +1,49 @@
+package beaconladder.fleet;
+
+import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** A database host, as one router knows it. */
+public final class Host {
+
+    /** What the roster says of a host. */
+    public enum State { READY, DRAINING, GONE }
+
+    public final int id;
+    public final Group group;
+    public final int zone;
+
+    public State state = State.READY;
+    /** When it last started; 0 for long ago. */
+    public long launched;
+    /** When this router was first told of that start. */
+    public long toldOfStart;
+    /** Newest log position that it is known to have applied. */
+    public long position = Long.MIN_VALUE;
+    public boolean replica = true;
+    /** Whether it has answered this router, or a probe, since this router or it started. */
+    public boolean met;
+    public long lastHeard = Long.MIN_VALUE;
+    public long probeSent = Long.MIN_VALUE;
+    public boolean probeOut;
+    public double inHand = -1;
+    public long inHandAt = Long.MIN_VALUE;
+    /** When it was last drawn for, while doubtful. */
+    public long drawn;
+
+    /** Submissions out, oldest first. */
+    public final Set<Submission> out = new LinkedHashSet<>();
+    /** Times of recent answers, each with the submissions that were out here when it was sent. */
+    public final Samples times = new Samples(16);
+    /** Recent ends: 1 for an answer, 0 for none. */
+    public final Samples ends = new Samples(16);
+    /** Times of the sends within the window that the caller keeps. */
+    public final ArrayDeque<Long> sends = new ArrayDeque<>();
+
+    public Host(int id, Group group, int zone) {
+        this.id = id;
+        this.group = group;
+        this.zone = zone;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/fleet/Samples.java
@@ -0,0 +1,83 @@
+package beaconladder.fleet;
+
+import java.util.Arrays;
+
+/** The last few measurements, each with the time it was taken and a second figure that goes with it. */
+public final class Samples {
+    private final long[] values;
+    private final long[] beside;
+    private final long[] at;
+    private int size;
+    private int next;
+
+    public Samples(int keep) {
+        values = new long[keep];
+        beside = new long[keep];
+        at = new long[keep];
+    }
+
+    public void add(long value, long with, long now) {
+        values[next] = value;
+        beside[next] = with;
+        at[next] = now;
+        next = (next + 1) % values.length;
+        size = Math.min(size + 1, values.length);
+    }
+
+    public void clear() {
+        size = 0;
+        next = 0;
+    }
+
+    public int size() {
+        return size;
+    }
+
+    /** How many were taken at or after this time. */
+    public int since(long time) {
+        int n = 0;
+        for (int i = 0; i < size; i++) {
+            if (at[i] >= time) {
+                n++;
+            }
+        }
+        return n;
+    }
+
+    /** The sum of those taken at or after this time. */
+    public long sumSince(long time) {
+        long sum = 0;
+        for (int i = 0; i < size; i++) {
+            if (at[i] >= time) {
+                sum += values[i];
+            }
+        }
+        return sum;
+    }
+
+    public double mean() {
+        return mean(values);
+    }
+
+    public double meanBeside() {
+        return mean(beside);
+    }
+
+    /** The value below which this share of the samples lies; 0 without samples. */
+    public long quantile(double share) {
+        if (size == 0) {
+            return 0;
+        }
+        long[] sorted = Arrays.copyOf(values, size);
+        Arrays.sort(sorted);
+        return sorted[Math.min(size - 1, (int) (share * size))];
+    }
+
+    private double mean(long[] of) {
+        double sum = 0;
+        for (int i = 0; i < size; i++) {
+            sum += of[i];
+        }
+        return size == 0 ? 0 : sum / size;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/fleet/Submission.java
@@ -0,0 +1,22 @@
+package beaconladder.fleet;
+
+/** One sending of a txn to a host. */
+public final class Submission {
+    public final Txn txn;
+    public final int number;
+    public final Host host;
+    public final long sent;
+    /** Submissions of this router that were out at the host once this one was. */
+    public final int beside;
+    public boolean ended;
+    /** Whether its outcome proves that it never ran. */
+    public boolean neverRan;
+
+    public Submission(Txn txn, int number, Host host, long sent, int beside) {
+        this.txn = txn;
+        this.number = number;
+        this.host = host;
+        this.sent = sent;
+        this.beside = beside;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/fleet/Txn.java
@@ -0,0 +1,64 @@
+package beaconladder.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A client's txn in the hands of one router. */
+public final class Txn {
+    public final long id;
+    public final TxnType type;
+    public final Group group;
+    /** The session's key; 0 for none. */
+    public final long session;
+    /** How long ago the session's last write was committed, on arrival; 0 or less for none known. */
+    public final long sinceWrite;
+    public final int tenant;
+    public final boolean repeated;
+    public final long arrived;
+    public final long expiry;
+    /** Which txn of this router it is, counted from the start. */
+    public final long number;
+
+    public final List<Submission> submissions = new ArrayList<>();
+    /** The log position that its session needs; Long.MIN_VALUE for none. */
+    public long target = Long.MIN_VALUE;
+    public boolean known;
+    public boolean ended;
+    /** When it is to be looked at again. */
+    public long look = Long.MAX_VALUE;
+
+    public Txn(long id, TxnType type, Group group, long session, long sinceWrite, int tenant, boolean repeated,
+            long arrived, long expiry, long number) {
+        this.id = id;
+        this.type = type;
+        this.group = group;
+        this.session = session;
+        this.sinceWrite = sinceWrite;
+        this.tenant = tenant;
+        this.repeated = repeated;
+        this.arrived = arrived;
+        this.expiry = expiry;
+        this.number = number;
+    }
+
+    /** How many submissions are still out. */
+    public int out() {
+        int n = 0;
+        for (Submission s : submissions) {
+            if (!s.ended) {
+                n++;
+            }
+        }
+        return n;
+    }
+
+    /** The first submission that may have run, or null. */
+    public Submission mayHaveRun() {
+        for (Submission s : submissions) {
+            if (!s.neverRan) {
+                return s;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/fleet/TxnType.java
@@ -0,0 +1,63 @@
+package beaconladder.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A txn type, as stated at start.
+ *
+ * @param bound  for {@link Read#BOUNDED}: how old the data may be
+ * @param memory for {@link Effect#REFERENCED}: how long repeats are discarded
+ * @param late   the share of the value that is left after the SLA time
+ */
+public record TxnType(int place, Read read, long bound, Effect effect, Scope scope, long memory, long sla,
+        long expiry, double value, double late) {
+
+    /** What data a txn type needs. */
+    public enum Read { ANY, BOUNDED, SESSION, CURRENT, WRITE }
+
+    /** What a repeat does. */
+    public enum Effect { REPEATABLE, REFERENCED, ONCE_ONLY }
+
+    /** For referenced txns: who discards a repeat. */
+    public enum Scope { ALL, ZONE, GROUP }
+
+    public static List<TxnType> read(Map<String, String> start) {
+        List<TxnType> types = new ArrayList<>();
+        int count = Integer.parseInt(start.getOrDefault("request_classes.count", "0"));
+        String[] reads = start.getOrDefault("family_info.freshness", "").split(",");
+        String[] bounds = start.getOrDefault("family_info.oldest_data_us", "").split(",");
+        for (int i = 0; i < count; i++) {
+            String at = "request_classes." + i + ".";
+            Read read = switch (i < reads.length ? reads[i] : "") {
+                case "loose" -> Read.ANY;
+                case "recent" -> Read.BOUNDED;
+                case "own_writes" -> Read.SESSION;
+                case "update" -> Read.WRITE;
+                default -> Read.CURRENT;
+            };
+            Effect effect = switch (start.getOrDefault(at + "effect", "")) {
+                case "pure" -> Effect.REPEATABLE;
+                case "token" -> Effect.REFERENCED;
+                default -> Effect.ONCE_ONLY;
+            };
+            Scope scope = switch (start.getOrDefault(at + "dedup_scope", "")) {
+                case "all" -> Scope.ALL;
+                case "zone" -> Scope.ZONE;
+                default -> Scope.GROUP;
+            };
+            long bound = i < bounds.length && !bounds[i].isEmpty() ? nanos(bounds[i]) : 0;
+            long expiry = nanos(start.getOrDefault(at + "give_up_us", "1000000"));
+            long sla = start.containsKey(at + "goal_time_us") ? nanos(start.get(at + "goal_time_us")) : expiry;
+            types.add(new TxnType(i, read, bound, effect, scope, nanos(start.getOrDefault(at + "key_ttl_us", "0")),
+                    sla, expiry, Double.parseDouble(start.getOrDefault(at + "points", "1")),
+                    Double.parseDouble(start.getOrDefault(at + "late_share", "0"))));
+        }
+        return List.copyOf(types);
+    }
+
+    private static long nanos(String micros) {
+        return Math.round(Double.parseDouble(micros) * 1_000.0);
+    }
+}
