Count the SLA time of a client's repeat from its first try

Cause: repeats whose SLA time had gone by filled hosts and queue; the budget tells (first tries of a type share one budget, any other is what is left of the expiry). Also covers: any wave of client repeats.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -5,6 +5,7 @@
 import beaconladder.api.Verdict;
 import beaconladder.fleet.Group;
 import beaconladder.fleet.Host;
+import beaconladder.fleet.Samples;
 import beaconladder.fleet.Session;
 import beaconladder.fleet.Submission;
 import beaconladder.fleet.Txn;
@@ -65,6 +66,7 @@
         if (!txn.known) {
             txn.known = true;
             txn.target = sessionTarget(txn);
+            txn.slaEnd = slaEnd(txn);
         }
         drop(txn);
         Verdict verdict = decide(txn, now);
@@ -199,8 +201,20 @@
 
     // ---- Time ---------------------------------------------------------------------------------------------------
 
+    /**
+     * When the SLA time ends, counted from the client's first try. First tries of a type bring one and the same
+     * budget; any other budget is what is left of the type's expiry, so the difference has already gone by. Guards
+     * against serving repeats that can earn nothing while fresh txns wait; errs on the side of serving.
+     */
     private long slaEnd(Txn txn) {
-        return Math.min(txn.arrived + txn.type.sla(), txn.expiry);
+        long budget = txn.expiry - txn.arrived;
+        Samples budgets = txn.type.budgets();
+        budgets.add(budget, 0, txn.arrived);
+        // Eight samples tell a cluster from scatter; arrivals are read once a tick, so equal budgets spread by one.
+        long first = budgets.densest(8 * MS);
+        boolean firstTry = budgets.size() < 8 || Math.abs(budget - first) <= 8 * MS;
+        long gone = firstTry ? 0 : Math.max(0, txn.type.expiry() - budget);
+        return Math.min(txn.arrived + txn.type.sla() - gone, txn.expiry);
     }
 
     /** The design's default: a held read goes to the primary one SLA time before its expiry. */
@@ -210,14 +224,14 @@
 
     /** From here on a txn that is not out can earn nothing more; two ticks remain to answer it. */
     private long lastUse(Txn txn) {
-        long end = txn.type.late() > 0 ? txn.expiry : slaEnd(txn);
+        long end = txn.type.late() > 0 ? txn.expiry : txn.slaEnd;
         return Math.min(end - txn.group.times.quantile(0.2), txn.expiry - 2 * Long.parseLong(
                 start.getOrDefault("round_us", "5000")) * 1_000);
     }
 
     /** Late answers that earn nothing are not waited for. */
     private long timeout(Txn txn, long now) {
-        return (txn.type.late() > 0 || txn.type.effect() != Effect.REPEATABLE ? txn.expiry : slaEnd(txn)) - now;
+        return (txn.type.late() > 0 || txn.type.effect() != Effect.REPEATABLE ? txn.expiry : txn.slaEnd) - now;
     }
 
     private long nextLook(Txn txn, long now) {
@@ -250,7 +264,7 @@
             return n < 4;
         }
         double expected = host.times.mean() * (n + 1) / Math.max(1, host.times.meanBeside());
-        long left = (now < slaEnd(txn) ? slaEnd(txn) : txn.expiry) - now;
+        long left = (now < txn.slaEnd ? txn.slaEnd : txn.expiry) - now;
         // Times spread to about twice their mean; six tenths leave most answers inside.
         return expected <= 0.6 * left;
     }
@@ -514,7 +528,7 @@
             }
         }
         List<Txn> order = new ArrayList<>(again);
-        order.sort(Comparator.<Txn>comparingDouble(t -> -worth(t, now)).thenComparingLong(this::slaEnd)
+        order.sort(Comparator.<Txn>comparingDouble(t -> -worth(t, now)).thenComparingLong(t -> t.slaEnd)
                 .thenComparingLong(t -> t.number));
         List<Host> probes = probes(now);
         long until = agenda.isEmpty() ? NEVER : agenda.first().look;
@@ -523,7 +537,7 @@
 
     /** What an answer would still earn. */
     private double worth(Txn txn, long now) {
-        return now < slaEnd(txn) ? txn.type.value() : txn.type.value() * txn.type.late();
+        return now < txn.slaEnd ? txn.type.value() : txn.type.value() * txn.type.late();
     }
 
     /** Members to ask: those not met yet, and those whose position or role a held txn waits for. */
--- a/src/main/java/beaconladder/fleet/Samples.java
+++ b/src/main/java/beaconladder/fleet/Samples.java
@@ -73,6 +73,25 @@
         return sorted[Math.min(size - 1, (int) (share * size))];
     }
 
+    /** The middle of the window of this width that holds the most samples; 0 without samples. */
+    public long densest(long width) {
+        long[] sorted = Arrays.copyOf(values, size);
+        Arrays.sort(sorted);
+        int from = 0;
+        int most = 0;
+        long middle = 0;
+        for (int to = 0; to < size; to++) {
+            while (sorted[to] - sorted[from] > width) {
+                from++;
+            }
+            if (to - from + 1 > most) {
+                most = to - from + 1;
+                middle = (sorted[from] + sorted[to]) / 2;
+            }
+        }
+        return middle;
+    }
+
     private double mean(long[] of) {
         double sum = 0;
         for (int i = 0; i < size; i++) {
--- a/src/main/java/beaconladder/fleet/Txn.java
+++ b/src/main/java/beaconladder/fleet/Txn.java
@@ -22,6 +22,8 @@
     public final List<Submission> submissions = new ArrayList<>();
     /** The log position that its session needs; Long.MIN_VALUE for none. */
     public long target = Long.MIN_VALUE;
+    /** When an answer stops being in time. */
+    public long slaEnd;
     public boolean known;
     public boolean ended;
     /** When it is to be looked at again. */
