--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -265,8 +265,9 @@
         }
         double expected = host.times.mean() * (n + 1) / Math.max(1, host.times.meanBeside());
         long left = (now < txn.slaEnd ? txn.slaEnd : txn.expiry) - now;
-        // Times spread to about twice their mean; six tenths leave most answers inside.
-        return expected <= 0.6 * left;
+        // Work takes about a fifth of the SLA time and spreads to twice its mean, so at four tenths a host has little
+        // more queue than it needs to stay busy; what waits beyond that waits here, where the order can change.
+        return expected <= Math.min(0.4 * txn.type.sla(), 0.6 * left);
     }
 
     /**
