Cold budget from committed answers; pause after a host turned a txn away as full

Cause: the cold share was taken of sends, and most sends were rejected; rejected txns were sent on at once. Told from lag by the fulls. Now the share is taken of what warm members committed, and a full host is left alone for half its usual time. Also covers retry storms on any rejecting host; harm: a host whose queue drains at once idles for a moment.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -257,6 +257,11 @@
      */
     private boolean roomFor(Host host, Txn txn, long now) {
         int n = host.out.size();
+        // A host that turned a txn away is left to work off a part of its queue, so that rejections, which cost it
+        // work too and count against a cold host, don't feed a storm of further submissions.
+        if (now < host.fullAt + usual(host) / 2) {
+            return false;
+        }
         if (n < 2) {
             return true;
         }
@@ -271,8 +276,9 @@
     }
 
     /**
-     * Rule 4: a cold host gets no more than its share of what this router sends to a warm member of the group. Warm
-     * members bear that load, so all routers together stay under the cold host's present capacity.
+     * Rule 4: a cold host gets no more than its share of what a warm member of the group committed for this router.
+     * Warm members bore that, so all routers together stay under the cold host's present capacity. Sends would not
+     * do: a warm member that turns most of them away bears far less than it is sent.
      */
     private boolean coldAllows(Host host, long now) {
         long warm = micros("rules.warm_within_us");
@@ -282,15 +288,15 @@
         long window = micros("rules.fall_us");
         double cold = Double.parseDouble(start.getOrDefault("rules.cold_share", "0"));
         double share = cold + (1 - cold) * Math.max(0, now - host.launched) / warm;
-        int sends = 0;
+        int bore = 0;
         int members = 0;
         for (Host h : host.group.members) {
             if (h != host && h.state == Host.State.READY && now >= h.launched + warm) {
-                sends += sendsSince(h, now - window);
+                bore += h.times.since(now - window);
                 members++;
             }
         }
-        return sendsSince(host, now - window) + 1 <= Math.max(1, share * sends / Math.max(1, members));
+        return sendsSince(host, now - window) + 1 <= Math.max(1, share * bore / Math.max(1, members));
     }
 
     private int sendsSince(Host host, long time) {
@@ -409,8 +415,7 @@
                 host.times.add(now - s.sent, s.beside, now);
                 host.group.times.add(now - s.sent, s.beside, now);
             } else if (outcome == Outcome.FULL) {
-                // A full host is one whose queue would take longer than the SLA time.
-                host.times.add(Math.max(now - s.sent, s.txn.type.sla()), s.beside, now);
+                host.fullAt = now;
             }
         } else if (outcome == Outcome.TIMED_OUT || outcome == Outcome.RESET || outcome == Outcome.UNREACHABLE) {
             if (host.lastHeard < s.sent) {
--- a/src/main/java/beaconladder/fleet/Host.java
+++ b/src/main/java/beaconladder/fleet/Host.java
@@ -29,6 +29,8 @@
     public boolean probeOut;
     public double inHand = -1;
     public long inHandAt = Long.MIN_VALUE;
+    /** When it last turned a txn away as full. */
+    public long fullAt = -(1L << 60);
     /** When it was last drawn for, while doubtful. */
     public long drawn;
 
