--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -428,6 +428,9 @@
         hear(host, answer, true, now);
         hear(host, report, false, now);
         Txn txn = s.txn;
+        if (outcome == Outcome.MISS && txn.type.read() == Read.WRITE && host.group.primary == host) {
+            host.group.primary = null;
+        }
         if (outcome == Outcome.COMMITTED && txn.type.read() == Read.WRITE) {
             remember(txn, answer.position() == Word.NONE ? now : answer.position());
         }
--- /dev/null
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -0,0 +1,278 @@
+package beaconladder;
+
+import static beaconladder.Script.ANY;
+import static beaconladder.Script.BOUNDED;
+import static beaconladder.Script.REFERENCED;
+import static beaconladder.Script.SESSION;
+import static beaconladder.Script.WRITE;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beaconladder.api.Router.Outcome;
+import beaconladder.api.Router.Role;
+import beaconladder.fleet.Host;
+import org.junit.jupiter.api.Test;
+
+class LogicTest {
+
+    @Test
+    void aReadIsHeldUntilAReplicaIsKnownAtItsTarget() {
+        Script s = Script.warm().tick(400).ask(1, SESSION, 100, 2000).tick(420).probed("b", Role.REPLICA, 250)
+                .tick(440).probed("c", Role.REPLICA, 310);
+        assertThat(s.trace()).isEqualTo("""
+                400 ask 1 session
+                400 probe b
+                400 probe c
+                440   send 1 to c
+                """);
+    }
+
+    @Test
+    void aBoundIsJudgedAtTheSendSoTheTargetMovesUpWhileHeld() {
+        Script s = Script.warm().tick(600).ask(1, BOUNDED, 0, 2000).tick(650).probed("b", Role.REPLICA, 140)
+                .tick(651).probed("c", Role.REPLICA, 200);
+        assertThat(s.trace()).isEqualTo("""
+                600 ask 1 bounded
+                600 probe b
+                600 probe c
+                651   send 1 to c
+                """);
+    }
+
+    @Test
+    void aHeldReadGoesToThePrimaryNearItsExpiry() {
+        Script s = Script.warm().tick(600).quiet().ask(1, BOUNDED, 0, 1000).tick(1000);
+        assertThat(s.trace()).isEqualTo("""
+                600 ask 1 bounded
+                600 probe b
+                600 probe c
+                800   send 1 to a
+                """);
+    }
+
+    @Test
+    void ofTwoDrawnReplicasTheLessBusyIsTaken() {
+        Script s = Script.warm().ask(1, ANY, 0, 2000).ask(2, ANY, 0, 2000).ask(3, ANY, 0, 2000)
+                .ask(4, ANY, 0, 2000);
+        assertThat(s.trace()).isEqualTo("""
+                0 ask 1 any
+                0   send 1 to b
+                0 ask 2 any
+                0   send 2 to c
+                0 ask 3 any
+                0   send 3 to c
+                0 ask 4 any
+                0   send 4 to b
+                """);
+    }
+
+    @Test
+    void aSessionWithItsWritesRememberedHereWaitsForTheirCommit() {
+        Script s = Script.warm("family_info.session_marks=router").ask(1, SESSION, 0, 2000)
+                .end(1, Outcome.COMMITTED, Role.REPLICA, 0).ask(2, WRITE, 0, 2000).tick(100)
+                .end(2, Outcome.COMMITTED, Role.PRIMARY, 90).ask(3, SESSION, 0, 2000)
+                .probed("c", Role.REPLICA, 89).probed("b", Role.REPLICA, 90);
+        assertThat(s.trace()).isEqualTo("""
+                0 ask 1 session
+                0   send 1 to b
+                0 end 1@b committed
+                0   done 1
+                0 ask 2 write
+                0   send 2 to a
+                100 end 2@a committed
+                100   done 2
+                100 ask 3 session
+                100 probe b
+                100 probe c
+                100   send 3 to b
+                """);
+    }
+
+    @Test
+    void aOnceOnlyTxnIsRepeatedOnlyWhereItIsKnownNotToHaveRun() {
+        StringBuilder all = new StringBuilder();
+        for (Outcome outcome : Outcome.values()) {
+            all.append(Script.warm().tick(5).ask(1, WRITE, 0, 900).tick(9).end(1, outcome).trace());
+        }
+        assertThat(all.toString()).isEqualTo("""
+                5 ask 1 write
+                5   send 1 to a
+                9 end 1@a committed
+                9   done 1
+                5 ask 1 write
+                5   send 1 to a
+                9 end 1@a error
+                9   roll back 1
+                5 ask 1 write
+                5   send 1 to a
+                9 end 1@a full
+                5 ask 1 write
+                5   send 1 to a
+                9 end 1@a timed_out
+                9   roll back 1
+                5 ask 1 write
+                5   send 1 to a
+                9 end 1@a unreachable
+                5 ask 1 write
+                5   send 1 to a
+                9 end 1@a reset
+                9   roll back 1
+                5 ask 1 write
+                5   send 1 to a
+                9 end 1@a cancelled
+                9   roll back 1
+                5 ask 1 write
+                5   send 1 to a
+                9 end 1@a moot
+                9   send 1 to a
+                5 ask 1 write
+                5   send 1 to a
+                9 end 1@a miss
+                """);
+    }
+
+    @Test
+    void aReferencedTxnIsRepeatedOnlyInsideTheMemoryOfItsGroup() {
+        Script s = Script.warm().ask(1, REFERENCED, 0, 2000).tick(100).end(1, Outcome.ERROR).tick(350)
+                .end(1, Outcome.ERROR);
+        assertThat(s.trace()).isEqualTo("""
+                0 ask 1 write
+                0   send 1 to a
+                100 end 1@a error
+                100   send 1 to a
+                350 end 1@a error
+                350   roll back 1
+                """);
+    }
+
+    @Test
+    void nothingNewGoesToADrainingOrGoneHost() {
+        Script s = Script.warm().list("b", false, Host.State.DRAINING, 0).ask(1, ANY, 0, 2000).ask(2, ANY, 0, 2000)
+                .list("c", false, Host.State.GONE, 0).ask(3, ANY, 0, 2000).tick(10)
+                .list("a", true, Host.State.DRAINING, 0).ask(4, WRITE, 0, 400).tick(500);
+        assertThat(s.trace()).isEqualTo("""
+                0 ask 1 any
+                0   send 1 to c
+                0 ask 2 any
+                0   send 2 to c
+                0 ask 3 any
+                10 ask 4 write
+                400   decline 4
+                """);
+    }
+
+    @Test
+    void aColdHostGetsItsShareOfWhatWarmMembersCommit() {
+        Script s = Script.warm().tick(10).list("b", false, Host.State.READY, 10).tick(11)
+                .probed("b", Role.REPLICA, 10).quiet();
+        for (int i = 0; i < 8; i++) {
+            s.ask(i, ANY, 0, 2000).end(i, Outcome.COMMITTED, Role.REPLICA, 11);
+        }
+        assertThat(s.trace()).isEqualTo("""
+                11 ask 0 any
+                11   send 0 to b
+                11 end 0@b committed
+                11   done 0
+                11 ask 1 any
+                11   send 1 to c
+                11 end 1@c committed
+                11   done 1
+                11 ask 2 any
+                11   send 2 to c
+                11 end 2@c committed
+                11   done 2
+                11 ask 3 any
+                11   send 3 to c
+                11 end 3@c committed
+                11   done 3
+                11 ask 4 any
+                11   send 4 to c
+                11 end 4@c committed
+                11   done 4
+                11 ask 5 any
+                11   send 5 to c
+                11 end 5@c committed
+                11   done 5
+                11 ask 6 any
+                11   send 6 to c
+                11 end 6@c committed
+                11   done 6
+                11 ask 7 any
+                11   send 7 to c
+                11 end 7@c committed
+                11   done 7
+                """);
+    }
+
+    @Test
+    void aFullHostIsLeftAloneForAMoment() {
+        Script s = Script.warm().list("c", false, Host.State.GONE, 0).ask(1, ANY, 0, 2000)
+                .end(1, Outcome.FULL, Role.REPLICA, 0).tick(150);
+        assertThat(s.trace()).isEqualTo("""
+                0 ask 1 any
+                0   send 1 to b
+                0 end 1@b full
+                100   send 1 to b
+                """);
+    }
+
+    @Test
+    void aRestartedRouterTrustsNoReplicaBeforeItsProbe() {
+        Script s = new Script().list("a*", "b", "c").ask(1, ANY, 0, 2000).tick(5).probed("c", Role.REPLICA, -900);
+        assertThat(s.trace()).isEqualTo("""
+                0 ask 1 any
+                0 probe a
+                0 probe b
+                0 probe c
+                5   send 1 to c
+                """);
+    }
+
+    @Test
+    void aHandoverOfThePrimaryIsLearnedFromAMissAndTheNewOneFound() {
+        Script s = Script.warm().tick(200).ask(1, WRITE, 0, 2000).tick(205)
+                .end(1, Outcome.MISS, Role.REPLICA, 4).tick(250).probed("b", Role.REPLICA, 4)
+                .probed("c", Role.PRIMARY, 240);
+        assertThat(s.trace()).isEqualTo("""
+                200 ask 1 write
+                200   send 1 to a
+                205 end 1@a miss
+                205 probe a
+                205 probe b
+                205 probe c
+                250   send 1 to c
+                """);
+    }
+
+    @Test
+    void aRepeatableTxnAtAHostGoneSilentGetsACopyElsewhere() {
+        Script s = Script.warm().list("c", false, Host.State.GONE, 0).ask(1, ANY, 0, 2000).ask(2, ANY, 0, 2000)
+                .ask(3, ANY, 0, 2000).tick(300).list("c", false, Host.State.READY, 0).tick(700)
+                .end(1, Outcome.COMMITTED, Role.REPLICA, 650);
+        assertThat(s.trace()).isEqualTo("""
+                0 ask 1 any
+                0   send 1 to b
+                0 ask 2 any
+                0   send 2 to b
+                0 ask 3 any
+                0   send 3 to b
+                600   send 1 to c
+                600   send 2 to c
+                600   send 3 to c
+                700 end 1@c committed
+                700   cancel 1@b
+                700   done 1
+                """);
+    }
+
+    @Test
+    void aClientsRepeatWhoseSlaTimeIsOverIsDeclinedAtOnce() {
+        Script s = Script.warm("limits.retry_after=true", "limits.max_retry_after_us=500000");
+        for (int i = 0; i < 8; i++) {
+            s.ask(i, ANY, 0, 1500).end(i, Outcome.COMMITTED, Role.REPLICA, 0);
+        }
+        assertThat(s.quiet().ask(8, ANY, 0, 1100).trace()).isEqualTo("""
+                0 ask 8 any
+                0   decline 8, back in 500
+                """);
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconladder/Script.java
@@ -0,0 +1,178 @@
+package beaconladder;
+
+import beaconladder.api.Pause;
+import beaconladder.api.Router.Outcome;
+import beaconladder.api.Router.Role;
+import beaconladder.api.Router.Word;
+import beaconladder.api.Verdict;
+import beaconladder.fleet.Group;
+import beaconladder.fleet.Host;
+import beaconladder.fleet.Submission;
+import beaconladder.fleet.Txn;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Plays a script of events to the module and prints its decisions, a line each, times in milliseconds. */
+final class Script {
+    static final long MS = 1_000_000L;
+    /** The script starts at this clock, so that positions before it exist. */
+    static final long ZERO = 100_000 * MS;
+    static final int ANY = 0;
+    static final int BOUNDED = 1;
+    static final int SESSION = 2;
+    static final int CURRENT = 3;
+    static final int WRITE = 4;
+    static final int REFERENCED = 5;
+
+    final Map<String, String> start = new LinkedHashMap<>();
+    private final Group group = new Group(1);
+    private final Map<String, Host> hosts = new LinkedHashMap<>();
+    private final Map<Integer, Txn> txns = new HashMap<>();
+    private final StringBuilder trace = new StringBuilder();
+    private Logic logic;
+    private long now = ZERO;
+
+    Script(String... settings) {
+        start.put("family_info.freshness", "loose,recent,own_writes,latest,update,update");
+        start.put("family_info.oldest_data_us", "0,500000,0,0,0,0");
+        start.put("family_info.session_marks", "client");
+        start.put("request_classes.count", "6");
+        for (int i = 0; i < 6; i++) {
+            start.put("request_classes." + i + ".effect", i < 4 ? "pure" : i == 4 ? "side_effect" : "token");
+            start.put("request_classes." + i + ".goal_time_us", "800000");
+            start.put("request_classes." + i + ".give_up_us", "2000000");
+            start.put("request_classes." + i + ".key_ttl_us", "300000");
+            start.put("request_classes." + i + ".dedup_scope", "cell");
+            start.put("request_classes." + i + ".late_share", i < 4 ? "0" : "0.5");
+        }
+        start.put("limits.max_attempts", "6");
+        start.put("limits.second_copies", "true");
+        start.put("limits.cancel", "true");
+        start.put("limits.probes", "true");
+        start.put("rules.warm_within_us", "10000000");
+        start.put("rules.cold_share", "0.2");
+        start.put("rules.fall_us", "1000000");
+        for (String s : settings) {
+            start.put(s.substring(0, s.indexOf('=')), s.substring(s.indexOf('=') + 1));
+        }
+        logic = new Logic(7, start);
+    }
+
+    /** A group of a (primary by the roster), b and c, all met, replicas at the present. */
+    static Script warm(String... settings) {
+        return new Script(settings).list("a*", "b", "c").tick(0).probed("a", Role.PRIMARY, 0)
+                .probed("b", Role.REPLICA, 0).probed("c", Role.REPLICA, 0).quiet();
+    }
+
+    Script list(String... entries) {
+        for (String e : entries) {
+            list(e.substring(0, 1), e.endsWith("*"), Host.State.READY, 0);
+        }
+        return this;
+    }
+
+    Script list(String name, boolean leader, Host.State state, long launchedMillis) {
+        Host host = hosts.computeIfAbsent(name, n -> new Host(n.charAt(0), group, 0));
+        logic.listed(host, leader, state, launchedMillis == 0 ? 0 : ZERO + launchedMillis * MS, now);
+        return this;
+    }
+
+    /** Lets time pass to this moment and settles what is due on the way. */
+    Script tick(long millis) {
+        long to = ZERO + millis * MS;
+        long until = settle();
+        while (until <= to) {
+            now = Math.max(now, until);
+            until = settle();
+        }
+        now = to;
+        settle();
+        return this;
+    }
+
+    Script ask(int id, int type, long sinceWriteMillis, long budgetMillis) {
+        Txn txn = new Txn(id, logic.type(type), group, 9, sinceWriteMillis * MS, 0, false, now,
+                now + budgetMillis * MS, id);
+        txns.put(id, txn);
+        say("ask " + id + " " + txn.type.read().name().toLowerCase(java.util.Locale.ROOT));
+        act(txn, logic.place(txn, now));
+        return this;
+    }
+
+    /** The newest submission of this txn ends; a position in milliseconds goes with an answer. */
+    Script end(int id, Outcome outcome, Role role, long positionMillis) {
+        Txn txn = txns.get(id);
+        Submission s = null;
+        for (Submission each : txn.submissions) {
+            s = each.ended ? s : each;
+        }
+        say("end " + id + "@" + (char) s.host.id + " " + outcome.name().toLowerCase(java.util.Locale.ROOT));
+        Word word = role == Role.UNKNOWN ? Word.SILENT : new Word(role, ZERO + positionMillis * MS, -1);
+        act(txn, logic.after(s, outcome, outcome == Outcome.COMMITTED, word, Word.SILENT, now));
+        settle();
+        return this;
+    }
+
+    Script end(int id, Outcome outcome) {
+        return end(id, outcome, Role.UNKNOWN, 0);
+    }
+
+    Script probed(String name, Role role, long positionMillis) {
+        logic.probed(hosts.get(name), Outcome.COMMITTED, new Word(role, ZERO + positionMillis * MS, -1), now);
+        settle();
+        return this;
+    }
+
+    /** Forgets the trace so far. */
+    Script quiet() {
+        trace.setLength(0);
+        return this;
+    }
+
+    String trace() {
+        return trace.toString();
+    }
+
+    private long settle() {
+        while (true) {
+            Pause pause = logic.pause(now);
+            for (Host host : pause.probe()) {
+                say("probe " + (char) host.id);
+            }
+            if (pause.again().isEmpty()) {
+                return pause.until() <= now ? now + MS : pause.until();
+            }
+            for (Txn txn : pause.again()) {
+                if (!txn.ended) {
+                    act(txn, logic.place(txn, now));
+                }
+            }
+        }
+    }
+
+    private void act(Txn txn, Verdict verdict) {
+        for (Submission s : verdict.cancel()) {
+            say("  cancel " + txn.id + "@" + (char) s.host.id);
+        }
+        switch (verdict.step()) {
+            case SEND -> {
+                Submission s = new Submission(txn, txn.submissions.size(), verdict.host(), now,
+                        verdict.host().out.size() + 1);
+                txn.submissions.add(s);
+                s.host.out.add(s);
+                say("  send " + txn.id + " to " + (char) s.host.id);
+            }
+            case WAIT -> { }
+            default -> {
+                txn.ended = true;
+                say("  " + verdict.step().name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ') + " " + txn.id
+                        + (verdict.comeBack() > 0 ? ", back in " + verdict.comeBack() / MS : ""));
+            }
+        }
+    }
+
+    private void say(String line) {
+        trace.append((now - ZERO) / MS).append(' ').append(line).append('\n');
+    }
+}
