Release a held read while the primary can still answer in its SLA time, writes first

Cause: expiry less one SLA time comes after the SLA time for most types, so reads were released when they could earn nothing. Harm: a primary near its limit takes reads that would have been declined; roomFor and the wait for held writes bound that.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -107,7 +107,7 @@
             return primaryFor(txn, now);
         }
         Host replica = replicaFor(txn, now);
-        if (replica == null && now >= release(txn) && !anyFresh(txn, now)) {
+        if (replica == null && now >= release(txn) && !anyFresh(txn, now) && spare(txn.group)) {
             return primaryFor(txn, now);
         }
         return replica;
@@ -142,6 +142,16 @@
         return primary;
     }
 
+    /** Writes have first call on the primary: no read is released to it while one of them waits. */
+    private boolean spare(Group group) {
+        for (Txn txn : group.held) {
+            if (txn.type.read() == Read.WRITE) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private boolean fresh(Host host, long target) {
         return host.state == Host.State.READY && host != host.group.primary && host.met && host.position >= target;
     }
@@ -217,9 +227,14 @@
         return Math.min(txn.arrived + txn.type.sla() - gone, txn.expiry);
     }
 
-    /** The design's default: a held read goes to the primary one SLA time before its expiry. */
+    /**
+     * When a held read may go to the primary: the design's default, one SLA time before its expiry, or earlier where
+     * the primary's answer would else come too late. One and a half usual times cover two answers in three.
+     */
     private long release(Txn txn) {
-        return txn.expiry - txn.type.sla();
+        Host primary = txn.group.primary;
+        long answer = primary == null ? 0 : usual(primary) * 3 / 2;
+        return Math.min(txn.expiry - txn.type.sla(), txn.slaEnd - answer);
     }
 
     /** From here on a txn that is not out can earn nothing more; two ticks remain to answer it. */
