Probe as many members as the waiting value pays for, rarely those far behind

Cause: each held read made every member of its group be probed each 100 ms. Told from lag: positions kept up and any reads were answered at once. Now the furthest member is asked first, as many at once as a tenth of the waiting value pays for, and a member far behind after half of what it lacks. Also covers lag of whole groups; harm: where one member alone keeps up and is not the furthest on record, it is found a round trip later.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -570,6 +570,7 @@
         probeLook = NEVER;
         for (Group group : groups) {
             long wanted = NEVER;
+            double waiting = 0;
             boolean lost = false;
             for (Txn txn : group.held) {
                 boolean needsPrimary = txn.type.read() == Read.WRITE || txn.type.read() == Read.CURRENT;
@@ -577,26 +578,54 @@
                         || doubtful(group.primary, now));
                 if (!needsPrimary && !anyFresh(txn, now)) {
                     wanted = Math.min(wanted, target(txn, now));
+                    waiting += worth(txn, now);
                 }
             }
+            int out = 0;
+            List<Host> behind = new ArrayList<>();
             for (Host host : group.members) {
-                boolean behind = wanted != NEVER && host.position < wanted && host != group.primary;
-                if (host.state != Host.State.READY || host.probeOut || host.met && !behind && !lost) {
+                out += host.probeOut ? 1 : 0;
+                if (host.state != Host.State.READY || host.probeOut) {
                     continue;
                 }
-                // Reports are refreshed every 50 to 250 ms, so asking more often than 100 ms brings little.
-                if (host.probeSent != Long.MIN_VALUE && now < host.probeSent + 100 * MS) {
-                    probeLook = Math.min(probeLook, host.probeSent + 100 * MS);
-                    continue;
+                if (!host.met || lost) {
+                    probe(host, 100 * MS, ask, now);
+                } else if (wanted != NEVER && host.position < wanted && host != group.primary) {
+                    behind.add(host);
+                }
+            }
+            // As many at once as a tenth of the value that waits pays for: where probes are dear the members are
+            // asked one after the other, the one that was furthest first, as one fresh member is enough.
+            long pays = Math.max(1, (long) (0.1 * waiting / topValue / fee("probe")));
+            behind.sort(Comparator.<Host>comparingLong(h -> -h.position));
+            for (Host host : behind) {
+                // A member far behind can't be there soon: ask again after half of what it lacks, a second at most.
+                long every = Math.max(100 * MS, Math.min(1_000 * MS, (wanted - host.position) / 2));
+                if (out < pays && probe(host, every, ask, now)) {
+                    out++;
                 }
-                host.probeOut = true;
-                host.probeSent = now;
-                ask.add(host);
             }
         }
         return ask;
     }
 
+    /** Reports are refreshed every 50 to 250 ms, so asking more often than each 100 ms brings little. */
+    private boolean probe(Host host, long every, List<Host> ask, long now) {
+        if (host.probeSent != UNBOUND && now < host.probeSent + every) {
+            probeLook = Math.min(probeLook, host.probeSent + every);
+            return false;
+        }
+        host.probeOut = true;
+        host.probeSent = now;
+        ask.add(host);
+        return true;
+    }
+
+    /** A price, as a share of a txn; never quite nothing. */
+    private double fee(String name) {
+        return Math.max(1e-3, Double.parseDouble(start.getOrDefault("fees." + name, "0")));
+    }
+
     private void schedule(Txn txn, long look) {
         agenda.remove(txn);
         txn.look = look;
