--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -246,7 +246,7 @@
 
     /** Late answers that earn nothing are not waited for. */
     private long timeout(Txn txn, long now) {
-        return (txn.type.late() > 0 || txn.type.effect() != Effect.REPEATABLE ? txn.expiry : txn.slaEnd) - now;
+        return txn.expiry - now;
     }
 
     private long nextLook(Txn txn, long now) {
