Count abandoned submissions as still in work at their host

Cause: where hosts go on with overdue work, a time-out made a host look free that was not. Harm: hosts that do drop overdue work look busy for one answer longer.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -246,7 +246,7 @@
 
     /** Late answers that earn nothing are not waited for. */
     private long timeout(Txn txn, long now) {
-        return txn.expiry - now;
+        return (txn.type.late() > 0 || txn.type.effect() != Effect.REPEATABLE ? txn.expiry : txn.slaEnd) - now;
     }
 
     private long nextLook(Txn txn, long now) {
@@ -271,7 +271,9 @@
      * router out there now against those out there then.
      */
     private boolean roomFor(Host host, Txn txn, long now) {
-        int n = host.out.size();
+        // Work that was abandoned may still be done there, but not for ever.
+        host.abandoned.removeIf(old -> now > old.txn.expiry);
+        int n = host.out.size() + host.abandoned.size();
         // A host that turned a txn away is left to work off a part of its queue, so that rejections, which cost it
         // work too and count against a cold host, don't feed a storm of further submissions.
         if (now < host.fullAt + usual(host) / 2) {
@@ -426,6 +428,8 @@
             host.met = true;
             host.lastHeard = now;
             host.ends.add(1, 0, now);
+            // Answers come about in the order of the sends: what was abandoned before this send is done with.
+            host.abandoned.removeIf(old -> old.sent < s.sent);
             if (outcome == Outcome.COMMITTED) {
                 host.times.add(now - s.sent, s.beside, now);
                 host.group.times.add(now - s.sent, s.beside, now);
@@ -440,6 +444,9 @@
                 host.times.add(now - s.sent, s.beside, now);
             }
         }
+        if (outcome == Outcome.TIMED_OUT || outcome == Outcome.CANCELLED) {
+            host.abandoned.add(s);
+        }
         hear(host, answer, true, now);
         hear(host, report, false, now);
         Txn txn = s.txn;
--- a/src/main/java/beaconladder/drill/Instance.java
+++ b/src/main/java/beaconladder/drill/Instance.java
@@ -207,7 +207,8 @@
         switch (verdict.step()) {
             case SEND -> {
                 Host host = verdict.host();
-                Submission s = new Submission(txn, txn.submissions.size(), host, now, host.out.size() + 1);
+                Submission s = new Submission(txn, txn.submissions.size(), host, now,
+                        host.out.size() + host.abandoned.size() + 1);
                 txn.submissions.add(s);
                 host.out.add(s);
                 reply.issue(txn.id, host.id, Math.max(1, verdict.timeout() / 1_000));
--- a/src/main/java/beaconladder/fleet/Host.java
+++ b/src/main/java/beaconladder/fleet/Host.java
@@ -1,7 +1,9 @@
 package beaconladder.fleet;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 /** A database host, as one router knows it. */
@@ -36,6 +38,8 @@
 
     /** Submissions out, oldest first. */
     public final Set<Submission> out = new LinkedHashSet<>();
+    /** Submissions that are waited for no longer and may still be in work there, oldest first. */
+    public final List<Submission> abandoned = new ArrayList<>();
     /** Times of recent answers, each with the submissions that were out here when it was sent. */
     public final Samples times = new Samples(16);
     /** Recent ends: 1 for an answer, 0 for none. */
