Admit under 0.3 SLA times instead of 0.4

Cause: in the aconcagua overload incident replicas that held more submissions than cores applied the log slowly.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -289,7 +289,7 @@
         long left = (now < txn.slaEnd ? txn.slaEnd : txn.expiry) - now;
         // Work takes about a fifth of the SLA time and spreads to twice its mean, so at four tenths a host has little
         // more queue than it needs to stay busy; what waits beyond that waits here, where the order can change.
-        return expected <= Math.min(0.4 * txn.type.sla(), 0.6 * left);
+        return expected <= Math.min(0.3 * txn.type.sla(), 0.6 * left);
     }
 
     /**
