Of equal worth the txn with most time left goes first

Cause: the oldest held txn went first, so each was sent when little of its SLA time was left. Told from slow hosts by the short host times. Also covers bursts, and what piles up in a handover. Harm: with just too much work the oldest are declined though they would still have made it.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -559,7 +559,9 @@
             }
         }
         List<Txn> order = new ArrayList<>(again);
-        order.sort(Comparator.<Txn>comparingDouble(t -> -worth(t, now)).thenComparingLong(t -> t.slaEnd)
+        // Of equal worth the one with most time left goes first: with more work than room, the oldest first would have
+        // each txn served when it is nearly too late, and many when it is.
+        order.sort(Comparator.<Txn>comparingDouble(t -> -worth(t, now)).thenComparingLong(t -> -t.slaEnd)
                 .thenComparingLong(t -> t.number));
         List<Host> probes = probes(now);
         long until = agenda.isEmpty() ? NEVER : agenda.first().look;
