--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -279,14 +279,15 @@
         if (now < host.fullAt + usual(host) / 2) {
             return false;
         }
-        if (n < 2) {
-            return true;
-        }
+        long left = (now < txn.slaEnd ? txn.slaEnd : txn.expiry) - now;
         if (host.times.size() < 4) {
             return n < 4;
         }
+        // A txn alone takes what the quicker half does; where less than that is left the work would be for nothing.
+        if (n < 2) {
+            return host.times.quantile(0.5) <= left;
+        }
         double expected = host.times.mean() * (n + 1) / Math.max(1, host.times.meanBeside());
-        long left = (now < txn.slaEnd ? txn.slaEnd : txn.expiry) - now;
         // Work takes about a fifth of the SLA time and spreads to twice its mean, so at four tenths a host has little
         // more queue than it needs to stay busy; what waits beyond that waits here, where the order can change.
         return expected <= Math.min(0.3 * txn.type.sla(), 0.6 * left);
