--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -233,7 +233,7 @@
      */
     private long release(Txn txn) {
         Host primary = txn.group.primary;
-        long answer = primary == null ? 0 : usual(primary) * 3 / 2;
+        long answer = primary == null || txn.group.times.size() == 0 ? 0 : usual(primary) * 3 / 2;
         return Math.min(txn.expiry - txn.type.sla(), txn.slaEnd - answer);
     }
 
--- a/src/test/java/beaconladder/LogicTest.java
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -81,8 +81,8 @@
                 100 end 2@a committed
                 100   done 2
                 100 ask 3 session
-                100 probe b
                 100 probe c
+                100 probe b
                 100   send 3 to b
                 """);
     }
@@ -264,6 +264,19 @@
                 """);
     }
 
+    @Test
+    void ofHeldTxnsTheOneWithMostTimeLeftGoesFirst() {
+        Script s = Script.warm().list("b", false, Host.State.GONE, 0).list("c", false, Host.State.DRAINING, 0)
+                .list("a", true, Host.State.DRAINING, 0).ask(1, ANY, 0, 2000).tick(50).ask(2, ANY, 0, 2000)
+                .tick(100).list("c", false, Host.State.READY, 0).tick(101);
+        assertThat(s.trace()).isEqualTo("""
+                0 ask 1 any
+                50 ask 2 any
+                100   send 2 to c
+                100   send 1 to c
+                """);
+    }
+
     @Test
     void aClientsRepeatWhoseSlaTimeIsOverIsDeclinedAtOnce() {
         Script s = Script.warm("limits.retry_after=true", "limits.max_retry_after_us=500000");
