An unreachable host is not trusted before a probe has come through

Covers crash, vanish, cut links and full connection tables alike. Harm: after a short cut a host is found again up to two seconds late.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -135,7 +135,7 @@
 
     private Host primaryFor(Txn txn, long now) {
         Host primary = txn.group.primary;
-        if (primary == null || primary.state != Host.State.READY || tried(txn, primary)
+        if (primary == null || primary.state != Host.State.READY || !primary.met || tried(txn, primary)
                 || !roomFor(primary, txn, now) || !coldAllows(primary, now) || !trusted(primary, now)) {
             return null;
         }
@@ -441,6 +441,9 @@
             if (host.lastHeard < s.sent) {
                 host.ends.add(0, 0, now);
             }
+            if (outcome == Outcome.UNREACHABLE) {
+                host.met = false;
+            }
             if (outcome == Outcome.TIMED_OUT) {
                 host.times.add(now - s.sent, s.beside, now);
             }
@@ -508,6 +511,8 @@
         if (outcome == Outcome.COMMITTED) {
             host.met = true;
             hear(host, report, false, now);
+        } else {
+            host.ends.add(0, 0, now);
         }
     }
 
@@ -599,7 +604,10 @@
                     continue;
                 }
                 if (!host.met || lost) {
-                    probe(host, 100 * MS, ask, now);
+                    // An unreachable host is not trusted before a probe has come through, which costs less than a
+                    // txn's wait for a connection; it is asked ever more rarely, every two seconds in the end.
+                    int failed = Math.min(5, host.ends.since(host.lastHeard) - (int) host.ends.sumSince(host.lastHeard));
+                    probe(host, Math.min(2_000 * MS, 100 * MS << failed), ask, now);
                 } else if (wanted != NEVER && host.position < wanted && host != group.primary) {
                     behind.add(host);
                 }
