--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -45,6 +45,8 @@
     private final TreeSet<Txn> agenda =
             new TreeSet<>(Comparator.<Txn>comparingLong(t -> t.look).thenComparingLong(t -> t.number));
     private final LinkedHashMap<Long, Session> sessions = new LinkedHashMap<>(64, 0.75f, true);
+    /** The types of the txns that came last. */
+    private final Samples mix = new Samples(256);
     private long probeLook = NEVER;
 
     public Logic(long seed, Map<String, String> start) {
@@ -67,6 +69,7 @@
             txn.known = true;
             txn.target = sessionTarget(txn);
             txn.slaEnd = slaEnd(txn);
+            mix.add(txn.type.place(), 0, now);
         }
         drop(txn);
         Verdict verdict = decide(txn, now);
@@ -411,7 +414,14 @@
         return Verdict.waiting();
     }
 
+    private void served(Txn txn, boolean inTime) {
+        if (txn.arrived < txn.slaEnd) {
+            txn.type.served().add(inTime ? 1 : 0, 0, txn.arrived);
+        }
+    }
+
     private Verdict giveUp(Txn txn) {
+        served(txn, false);
         Submission ran = txn.mayHaveRun();
         Effect effect = txn.type.effect();
         if (ran == null || effect == Effect.REPEATABLE
@@ -472,6 +482,7 @@
         }
         if (settled) {
             drop(txn);
+            served(txn, outcome == Outcome.COMMITTED && now <= txn.slaEnd);
             return Verdict.done(othersOut(txn));
         }
         return place(txn, now);
@@ -572,15 +583,42 @@
             }
         }
         List<Txn> order = new ArrayList<>(again);
+        double[] weights = weights();
         // Of equal worth the one with most time left goes first: with more work than room, the oldest first would have
         // each txn served when it is nearly too late, and many when it is.
-        order.sort(Comparator.<Txn>comparingDouble(t -> -worth(t, now)).thenComparingLong(t -> -t.slaEnd)
+        order.sort(Comparator.<Txn>comparingDouble(t -> -worth(t, now) * weights[t.type.place()]).thenComparingLong(t -> -t.slaEnd)
                 .thenComparingLong(t -> t.number));
         List<Host> probes = probes(now);
         long until = agenda.isEmpty() ? NEVER : agenda.first().look;
         return new Pause(Math.min(until, probeLook), probes, order);
     }
 
+    /**
+     * What a unit of value counts in the goal, by txn type: its part of the whole, and for the types served worst
+     * their part of that term, spread over the little value that such a type asks for. Guards against starving a type
+     * for another of higher value; harm: a type that nobody can serve still goes first, at no cost to the hosts.
+     */
+    private double[] weights() {
+        double[] weights = new double[types.size()];
+        double worst = 1;
+        double asked = 0;
+        for (TxnType type : types) {
+            worst = type.served().size() < 8 ? worst : Math.min(worst, type.served().mean());
+            asked += mix.count(type.place()) * type.value();
+        }
+        for (TxnType type : types) {
+            double part = Math.max(0.05, mix.count(type.place()) * type.value() / Math.max(1, asked));
+            // Within a tenth of the worst a type may be the worst one soon: samples of 64 are as rough as that.
+            boolean behind = type.served().size() >= 8 && type.served().mean() <= worst + 0.1;
+            weights[type.place()] = goal("whole") + (behind ? goal("worst_class") / part : 0);
+        }
+        return weights;
+    }
+
+    private double goal(String name) {
+        return Double.parseDouble(start.getOrDefault("goal." + name, name.equals("whole") ? "1" : "0"));
+    }
+
     /** What an answer would still earn. */
     private double worth(Txn txn, long now) {
         return now < txn.slaEnd ? txn.type.value() : txn.type.value() * txn.type.late();
--- a/src/main/java/beaconladder/fleet/Samples.java
+++ b/src/main/java/beaconladder/fleet/Samples.java
@@ -55,6 +55,17 @@
         return sum;
     }
 
+    /** How many have this value. */
+    public int count(long value) {
+        int n = 0;
+        for (int i = 0; i < size; i++) {
+            if (values[i] == value) {
+                n++;
+            }
+        }
+        return n;
+    }
+
     public double mean() {
         return mean(values);
     }
--- a/src/main/java/beaconladder/fleet/TxnType.java
+++ b/src/main/java/beaconladder/fleet/TxnType.java
@@ -11,9 +11,11 @@
  * @param memory for {@link Effect#REFERENCED}: how long repeats are discarded
  * @param late   the share of the value that is left after the SLA time
  * @param budgets the budgets that the last txns of this type brought
+ * @param served  how the last txns of this type ended: 1 for an answer in time
  */
 public record TxnType(int place, Read read, long bound, Effect effect, Scope scope, long memory, long sla,
-        long expiry, double value, double late, Samples budgets) {
+        long expiry, double value, double late, Samples budgets,
+        Samples served) {
 
     /** What data a txn type needs. */
     public enum Read { ANY, BOUNDED, SESSION, CURRENT, WRITE }
@@ -53,7 +55,8 @@
             long sla = start.containsKey(at + "goal_time_us") ? nanos(start.get(at + "goal_time_us")) : expiry;
             types.add(new TxnType(i, read, bound, effect, scope, nanos(start.getOrDefault(at + "key_ttl_us", "0")),
                     sla, expiry, Double.parseDouble(start.getOrDefault(at + "points", "1")),
-                    Double.parseDouble(start.getOrDefault(at + "late_share", "0")), new Samples(32)));
+                    Double.parseDouble(start.getOrDefault(at + "late_share", "0")), new Samples(32),
+                    new Samples(64)));
         }
         return List.copyOf(types);
     }
