Any reads hold back on a replica that lags by a bound

Covers lag by crowding; harm: under lag of another cause any reads wait a little though the host has room.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -41,6 +41,8 @@
     private final Map<String, String> start;
     private final List<TxnType> types;
     private final double topValue;
+    /** The tightest bound of a txn type; a second where none is stated. */
+    private final long tightest;
     private final Set<Group> groups = new LinkedHashSet<>();
     private final TreeSet<Txn> agenda =
             new TreeSet<>(Comparator.<Txn>comparingLong(t -> t.look).thenComparingLong(t -> t.number));
@@ -53,6 +55,8 @@
         this.chance = new SplittableRandom(seed);
         this.start = start;
         this.types = TxnType.read(start);
+        this.tightest = types.stream().filter(t -> t.read() == Read.BOUNDED).mapToLong(TxnType::bound).min()
+                .orElse(1_000 * MS);
         this.topValue = types.stream().mapToDouble(TxnType::value).max().orElse(1);
     }
 
@@ -290,14 +294,16 @@
         // more queue than it needs to stay busy; what waits beyond that waits here, where the order can change.
         double mean = host.times.mean();
         double beside = Math.max(1, host.times.meanBeside());
-        double most = Math.min(0.3 * txn.type.sla(), 0.6 * left);
+        // On a replica that lags by a bound, any reads hold back, so that its apply thread gets its part of the cores.
+        boolean crowds = txn.type.read() == Read.ANY && host.lag > tightest;
+        double most = Math.min((crowds ? 0.2 : 0.3) * txn.type.sla(), 0.6 * left);
         if (mean * (n + 1) / beside <= most || mean <= most && n <= beside) {
             return true;
         }
         // Among few others a txn takes what the quicker half does; with less left the work would be for nothing.
         // Six over all routers keep a small machine busy. Where routers are many, a host too slow even so is kept busy
         // by the others, and this router's single txns follow each other at a distance.
-        int few = 6 / Integer.parseInt(start.getOrDefault("replicas_of_me", "1"));
+        int few = (crowds ? 3 : 6) / Integer.parseInt(start.getOrDefault("replicas_of_me", "1"));
         return n < Math.max(1, few) && host.times.quantile(0.5) <= left
                 && (n < few || host.sends.isEmpty()
                 || now - host.sends.peekLast() >= mean * mean / (0.3 * txn.type.sla()));
@@ -505,6 +511,9 @@
 
     private void hear(Host host, Word word, boolean direct, long now) {
         Group group = host.group;
+        if (direct && word.position() != Word.NONE) {
+            host.lag = now - word.position();
+        }
         if (word.position() > host.position) {
             host.position = word.position();
             group.changed = true;
