Only recent times count for admission; abandoned work doesn't block a first send

Cause: time-outs of a slow spell stayed in the sixteen samples, and abandoned submissions counted as out blocked the sends whose answers would have cleared them. Told from slow hosts by their reports.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -287,25 +287,29 @@
             return false;
         }
         long left = (now < txn.slaEnd ? txn.slaEnd : txn.expiry) - now;
-        if (host.times.size() < 4) {
-            return n < 4;
+        // Older times tell of a load that may be gone: a host that was slow and is sent little would look slow for ever.
+        long since = now - 3_000 * MS;
+        int few = 6 / Integer.parseInt(start.getOrDefault("replicas_of_me", "1"));
+        int out = host.out.size();
+        if (host.times.since(since) < 4) {
+            return out < Math.max(1, few);
         }
         // Work takes about a fifth of the SLA time and spreads to twice its mean, so at three tenths a host has little
         // more queue than it needs to stay busy; what waits beyond that waits here, where the order can change.
-        double mean = host.times.mean();
-        double beside = Math.max(1, host.times.meanBeside());
+        double mean = host.times.mean(since);
+        double beside = Math.max(1, host.times.meanBeside(since));
         // On a replica that lags by a bound, any reads hold back, so that its apply thread gets its part of the cores.
         boolean crowds = txn.type.read() == Read.ANY && host.lag > tightest;
         double most = Math.min((crowds ? 0.2 : 0.3) * txn.type.sla(), 0.6 * left);
         if (mean * (n + 1) / beside <= most || mean <= most && n <= beside) {
             return true;
         }
-        // Among few others a txn takes what the quicker half does; with less left the work would be for nothing.
-        // Six over all routers keep a small machine busy. Where routers are many, a host too slow even so is kept busy
-        // by the others, and this router's single txns follow each other at a distance.
-        int few = (crowds ? 3 : 6) / Integer.parseInt(start.getOrDefault("replicas_of_me", "1"));
-        return n < Math.max(1, few) && host.times.quantile(0.5) <= left
-                && (n < few || host.sends.isEmpty()
+        // Among few others a txn takes what the quicker half does; with less left the work would be for nothing. Six
+        // over all routers keep a small machine busy. A host too slow even so is kept busy by the others, and this
+        // router's single txns follow each other at a distance.
+        // Abandoned work doesn't count here: only answers to later sends can tell that it is done with.
+        return out < (crowds ? few / 2 : few) && host.times.quantile(0.5) <= left
+                || out == 0 && (host.sends.isEmpty()
                 || now - host.sends.peekLast() >= mean * mean / (0.3 * txn.type.sla()));
     }
 
--- a/src/main/java/beaconladder/fleet/Samples.java
+++ b/src/main/java/beaconladder/fleet/Samples.java
@@ -67,11 +67,17 @@
     }
 
     public double mean() {
-        return mean(values);
+        return mean(values, Long.MIN_VALUE);
     }
 
-    public double meanBeside() {
-        return mean(beside);
+    /** The mean of those taken at or after this time; 0 without any. */
+    public double mean(long since) {
+        return mean(values, since);
+    }
+
+    /** The mean of the figures beside those taken at or after this time; 0 without any. */
+    public double meanBeside(long since) {
+        return mean(beside, since);
     }
 
     /** The value below which this share of the samples lies; 0 without samples. */
@@ -103,11 +109,15 @@
         return middle;
     }
 
-    private double mean(long[] of) {
+    private double mean(long[] of, long since) {
         double sum = 0;
+        int n = 0;
         for (int i = 0; i < size; i++) {
-            sum += of[i];
+            if (at[i] >= since) {
+                sum += of[i];
+                n++;
+            }
         }
-        return size == 0 ? 0 : sum / size;
+        return n == 0 ? 0 : sum / n;
     }
 }
