--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -13,6 +13,7 @@
 import beaconladder.fleet.TxnType.Effect;
 import beaconladder.fleet.TxnType.Read;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -316,7 +317,8 @@
     /**
      * Rule 4: a cold host gets no more than its share of what a warm member of the group committed for this router.
      * Warm members bore that, so all routers together stay under the cold host's present capacity. Sends would not
-     * do: a warm member that turns most of them away bears far less than it is sent.
+     * do: a warm member that turns most of them away bears far less than it is sent. Where all of a group is cold, as
+     * after a site came back, the warm members of the other groups tell.
      */
     private boolean coldAllows(Host host, long now) {
         long warm = micros("rules.warm_within_us");
@@ -326,15 +328,23 @@
         long window = micros("rules.fall_us");
         double cold = Double.parseDouble(start.getOrDefault("rules.cold_share", "0"));
         double share = cold + (1 - cold) * Math.max(0, now - host.launched) / warm;
+        double bore = Math.max(bore(List.of(host.group), now, window, warm), bore(groups, now, window, warm));
+        return sendsSince(host, now - window) + 1 <= Math.max(1, share * bore);
+    }
+
+    /** What a warm member of these groups committed for this router in the window, on the average. */
+    private static double bore(Collection<Group> of, long now, long window, long warm) {
         int bore = 0;
         int members = 0;
-        for (Host h : host.group.members) {
-            if (h != host && h.state == Host.State.READY && now >= h.launched + warm) {
-                bore += h.times.since(now - window);
-                members++;
+        for (Group group : of) {
+            for (Host host : group.members) {
+                if (host.state == Host.State.READY && host.met && now >= host.launched + warm) {
+                    bore += host.times.since(now - window);
+                    members++;
+                }
             }
         }
-        return sendsSince(host, now - window) + 1 <= Math.max(1, share * bore / Math.max(1, members));
+        return (double) bore / Math.max(1, members);
     }
 
     private int sendsSince(Host host, long time) {
