--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -292,24 +292,25 @@
         long since = now - 3_000 * MS;
         int few = 6 / Integer.parseInt(start.getOrDefault("replicas_of_me", "1"));
         int out = host.out.size();
-        if (host.times.since(since) < 4) {
+        if (host.times.size() < 4) {
             return out < Math.max(1, few);
         }
         // Work takes about a fifth of the SLA time and spreads to twice its mean, so at three tenths a host has little
         // more queue than it needs to stay busy; what waits beyond that waits here, where the order can change.
-        double mean = host.times.mean(since);
-        double beside = Math.max(1, host.times.meanBeside(since));
+        boolean recent = host.times.since(since) >= 4;
+        double mean = recent ? host.times.mean(since) : host.times.mean();
+        double beside = Math.max(1, recent ? host.times.meanBeside(since) : 1);
         // On a replica that lags by a bound, any reads hold back, so that its apply thread gets its part of the cores.
         boolean crowds = txn.type.read() == Read.ANY && host.lag > tightest;
         double most = Math.min((crowds ? 0.2 : 0.3) * txn.type.sla(), 0.6 * left);
-        if (mean * (n + 1) / beside <= most || mean <= most && n <= beside) {
+        if (recent && mean * (n + 1) / beside <= most || mean <= most && (out == 0 || recent && n <= beside)) {
             return true;
         }
         // Among few others a txn takes what the quicker half does; with less left the work would be for nothing. Six
         // over all routers keep a small machine busy. A host too slow even so is kept busy by the others, and this
         // router's single txns follow each other at a distance.
         // Abandoned work doesn't count here: only answers to later sends can tell that it is done with.
-        return out < (crowds ? few / 2 : few) && host.times.quantile(0.5) <= left
+        return out < (crowds ? few / 2 : few) && (!recent || host.times.quantile(0.5) <= left)
                 || out == 0 && (host.sends.isEmpty()
                 || now - host.sends.peekLast() >= mean * mean / (0.3 * txn.type.sla()));
     }
@@ -655,6 +656,7 @@
             long wanted = NEVER;
             double waiting = 0;
             boolean lost = false;
+            Txn needy = null;
             for (Txn txn : group.held) {
                 boolean needsPrimary = txn.type.read() == Read.WRITE || txn.type.read() == Read.CURRENT;
                 lost |= needsPrimary && (group.primary == null || group.primary.state != Host.State.READY
@@ -662,6 +664,7 @@
                 if (!needsPrimary && !anyFresh(txn, now)) {
                     wanted = Math.min(wanted, target(txn, now));
                     waiting += worth(txn, now);
+                    needy = needy == null || txn.slaEnd > needy.slaEnd ? txn : needy;
                 }
             }
             int out = 0;
@@ -676,7 +679,9 @@
                     // txn's wait for a connection; it is asked ever more rarely, every two seconds in the end.
                     int failed = Math.min(5, host.ends.since(host.lastHeard) - (int) host.ends.sumSince(host.lastHeard));
                     probe(host, Math.min(2_000 * MS, 100 * MS << failed), ask, now);
-                } else if (wanted != NEVER && host.position < wanted && host != group.primary) {
+                } else if (needy != null && host.position < wanted && host != group.primary
+                        && roomFor(host, needy, now) && !doubtful(host, now)) {
+                    // A member that couldn't take the read anyway isn't asked: its answer would be old by then.
                     behind.add(host);
                 }
             }
