A probe that comes through settles earlier failures to connect

A trace test showed a host that was reached again still drawn for as doubtful. Unused load figures left the state.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -533,10 +533,6 @@
             host.position = word.position();
             group.changed = true;
         }
-        if (word.inHand() >= 0) {
-            host.inHand = word.inHand();
-            host.inHandAt = now;
-        }
         long stamp = word.position() == Word.NONE ? now : word.position();
         if (word.role() == Role.PRIMARY && stamp >= group.primaryAt) {
             group.primaryAt = stamp;
@@ -551,6 +547,10 @@
         host.probeOut = false;
         host.group.changed = true;
         if (outcome == Outcome.COMMITTED) {
+            // What was held against a host that could not be reached is settled by reaching it; silence is not.
+            if (!host.met) {
+                host.ends.clear();
+            }
             host.met = true;
             hear(host, report, false, now);
         } else {
--- a/src/main/java/beaconladder/api/Router.java
+++ b/src/main/java/beaconladder/api/Router.java
@@ -36,11 +36,10 @@
      *
      * @param role     its role, or {@link Role#UNKNOWN}
      * @param position the log position it has applied, in nanoseconds on the routers' clock, or {@link #NONE}
-     * @param inHand   txns it holds, or a negative number where it did not say
      */
-    record Word(Role role, long position, double inHand) {
+    record Word(Role role, long position) {
         public static final long NONE = Long.MIN_VALUE;
-        public static final Word SILENT = new Word(Role.UNKNOWN, NONE, -1);
+        public static final Word SILENT = new Word(Role.UNKNOWN, NONE);
     }
 
     /** The txn type at this place of the list handed over at start. */
--- a/src/main/java/beaconladder/drill/Instance.java
+++ b/src/main/java/beaconladder/drill/Instance.java
@@ -34,7 +34,6 @@
     private long zeroMicros;
     private int positionField;
     private int primaryField;
-    private int inHandField;
     private boolean asks;
     private long taken;
     private long timerHandle;
@@ -60,7 +59,6 @@
         List<String> fields = Arrays.asList(start.getOrDefault("load_report.fields", "").split(","));
         positionField = fields.indexOf("x0");
         primaryField = fields.indexOf("x1");
-        inHandField = fields.indexOf("rif");
         asks = "ask".equals(start.get("discovery"));
         taken = 0;
         timerAt = Long.MAX_VALUE;
@@ -135,7 +133,7 @@
             long now = clock * 1_000;
             Word answer = note == 0 ? Word.SILENT
                     : new Word(note % 4 == 1 ? Role.PRIMARY : note % 4 == 2 ? Role.REPLICA : Role.UNKNOWN,
-                            note / 4 == 0 ? Word.NONE : zeroMicros * 1_000 + note / 4 * 1_000_000, -1);
+                            note / 4 == 0 ? Word.NONE : zeroMicros * 1_000 + note / 4 * 1_000_000);
             Txn txn = submission.txn;
             act(txn, router.after(submission, outcome(reason), settled, answer, word(pressure), now), now);
             if (txn.ended && txn.out() == 0) {
@@ -249,8 +247,7 @@
         }
         Role role = primaryField < 0 || primaryField >= pressure.length ? Role.UNKNOWN
                 : pressure[primaryField] >= 0.5f ? Role.PRIMARY : Role.REPLICA;
-        double inHand = inHandField < 0 || inHandField >= pressure.length ? -1 : pressure[inHandField];
-        return new Word(role, position, inHand);
+        return new Word(role, position);
     }
 
     private static Outcome outcome(int reason) {
--- a/src/main/java/beaconladder/fleet/Host.java
+++ b/src/main/java/beaconladder/fleet/Host.java
@@ -30,8 +30,6 @@
     public long lastHeard = Long.MIN_VALUE;
     public long probeSent = Long.MIN_VALUE;
     public boolean probeOut;
-    public double inHand = -1;
-    public long inHandAt = Long.MIN_VALUE;
     /** When it last turned a txn away as full. */
     public long fullAt = -(1L << 60);
     /** When it was last drawn for, while doubtful. */
--- a/src/test/java/beaconladder/LogicTest.java
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -277,6 +277,19 @@
                 """);
     }
 
+    @Test
+    void anUnreachableHostIsTrustedAgainOnlyAfterAProbe() {
+        Script s = Script.warm().list("c", false, Host.State.GONE, 0).tick(500).ask(1, ANY, 0, 2000).tick(750)
+                .end(1, Outcome.UNREACHABLE).tick(900).probed("b", Role.REPLICA, 890);
+        assertThat(s.trace()).isEqualTo("""
+                500 ask 1 any
+                500   send 1 to b
+                750 end 1@b unreachable
+                750 probe b
+                900   send 1 to b
+                """);
+    }
+
     @Test
     void aClientsRepeatWhoseSlaTimeIsOverIsDeclinedAtOnce() {
         Script s = Script.warm("limits.retry_after=true", "limits.max_retry_after_us=500000");
--- a/src/test/java/beaconladder/Script.java
+++ b/src/test/java/beaconladder/Script.java
@@ -108,7 +108,7 @@
             s = each.ended ? s : each;
         }
         say("end " + id + "@" + (char) s.host.id + " " + outcome.name().toLowerCase(java.util.Locale.ROOT));
-        Word word = role == Role.UNKNOWN ? Word.SILENT : new Word(role, ZERO + positionMillis * MS, -1);
+        Word word = role == Role.UNKNOWN ? Word.SILENT : new Word(role, ZERO + positionMillis * MS);
         act(txn, logic.after(s, outcome, outcome == Outcome.COMMITTED, word, Word.SILENT, now));
         settle();
         return this;
@@ -119,7 +119,7 @@
     }
 
     Script probed(String name, Role role, long positionMillis) {
-        logic.probed(hosts.get(name), Outcome.COMMITTED, new Word(role, ZERO + positionMillis * MS, -1), now);
+        logic.probed(hosts.get(name), Outcome.COMMITTED, new Word(role, ZERO + positionMillis * MS), now);
         settle();
         return this;
     }
