--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -290,7 +290,11 @@
         long left = (now < txn.slaEnd ? txn.slaEnd : txn.expiry) - now;
         // Older times tell of a load that may be gone: a host that was slow and is sent little would look slow for ever.
         long since = now - 3_000 * MS;
-        int few = 6 / Integer.parseInt(start.getOrDefault("replicas_of_me", "1"));
+        // Nine over all routers keep a small primary busy; on a replica, which has to apply the log beside them, it is
+        // one each while that makes no more than six, and three for any reads on one that lags.
+        int routers = Integer.parseInt(start.getOrDefault("replicas_of_me", "1"));
+        boolean crowds = txn.type.read() == Read.ANY && host.lag > tightest;
+        int few = host == host.group.primary ? 9 / routers : crowds ? 3 / routers : Math.min(1, 6 / routers);
         int out = host.out.size();
         if (host.times.size() < 4) {
             return out < Math.max(1, few);
@@ -301,16 +305,14 @@
         double mean = recent ? host.times.mean(since) : host.times.mean();
         double beside = Math.max(1, recent ? host.times.meanBeside(since) : 1);
         // On a replica that lags by a bound, any reads hold back, so that its apply thread gets its part of the cores.
-        boolean crowds = txn.type.read() == Read.ANY && host.lag > tightest;
         double most = Math.min((crowds ? 0.2 : 0.3) * txn.type.sla(), 0.6 * left);
         if (recent && mean * (n + 1) / beside <= most || mean <= most && (out == 0 || recent && n <= beside)) {
             return true;
         }
-        // Among few others a txn takes what the quicker half does; with less left the work would be for nothing. Six
-        // over all routers keep a small machine busy. A host too slow even so is kept busy by the others, and this
-        // router's single txns follow each other at a distance.
+        // Among few others a txn takes what the quicker half does; with less left the work would be for nothing. A
+        // host too slow even so is kept busy by the others, and this router's single txns keep a distance.
         // Abandoned work doesn't count here: only answers to later sends can tell that it is done with.
-        return out < (crowds ? few / 2 : few) && (!recent || host.times.quantile(0.5) <= left)
+        return out < few && (!recent || host.times.quantile(0.5) <= left)
                 || out == 0 && (host.sends.isEmpty()
                 || now - host.sends.peekLast() >= mean * mean / (0.3 * txn.type.sla()));
     }
