--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -26,12 +26,13 @@
 /**
  * Every decision of one router; the interface is {@link Router}, and docs/design.md tells why it decides so.
  *
- * <p>How to call it: make one instance a router from the seed and the start-up settings. Tell it of the roster with
- * {@link #listed}. Ask {@link #place} for each txn that comes in, and do what the verdict says; once the caller has
- * sent a submission it adds it to the txn and to the host, and hands its end to {@link #after}. When all that is
- * known at one time has been told, ask {@link #pause}: probe the members it names, ask {@link #place} again for the
- * txns it names, and repeat until it names none; then come back at its time or with the next news. A verdict of
- * WAIT leaves the txn here; after DECLINE, ROLL_BACK and DONE it has had its final answer.
+ * <p>How to call it: make one instance a router from the seed and the start-up settings. Tell it of the
+ * roster with {@link #listed}. Ask {@link #place} for each txn that comes in, and do what the verdict says;
+ * once the caller has sent a submission it adds it to the txn and to the host, and hands its end to {@link
+ * #after}. When all that is known at one time has been told, ask {@link #pause}: probe the members it names,
+ * ask {@link #place} again for the txns it names, and repeat until it names none; then come back at its time
+ * or with the next news. A verdict of WAIT leaves the txn here; after DECLINE, ROLL_BACK and DONE it has had
+ * its final answer.
  */
 public final class Logic implements Router {
     private static final long MS = 1_000_000L;
@@ -66,7 +67,7 @@
         return types.get(place);
     }
 
-    // ---- The first question: where to send this txn ------------------------------------------------------------
+    // ---- The first question: where to send this txn -------------------------------------------------------
 
     @Override
     public Verdict place(Txn txn, long now) {
@@ -90,7 +91,8 @@
         Submission ran = txn.mayHaveRun();
         // Rule 2: what may have run is repeated only where its repeat does no harm.
         if (ran != null && txn.type.effect() == Effect.ONCE_ONLY
-                || ran != null && txn.type.effect() == Effect.REFERENCED && now - ran.sent >= txn.type.memory()) {
+                || ran != null && txn.type.effect() == Effect.REFERENCED
+                        && now - ran.sent >= txn.type.memory()) {
             return out > 0 ? Verdict.waiting() : Verdict.rollBack(List.of());
         }
         if (out > 0) {
@@ -161,7 +163,8 @@
     }
 
     private boolean fresh(Host host, long target) {
-        return host.state == Host.State.READY && host != host.group.primary && host.met && host.position >= target;
+        return host.state == Host.State.READY && host != host.group.primary && host.met
+                && host.position >= target;
     }
 
     private boolean anyFresh(Txn txn, long now) {
@@ -183,7 +186,7 @@
         return false;
     }
 
-    /** The position that a replica must have reached at this moment. Rule 5: a bound is judged at the send. */
+    /** The position that a replica must have reached now. Rule 5: a bound is judged at the send. */
     private long target(Txn txn, long now) {
         return switch (txn.type.read()) {
             case BOUNDED -> now - txn.type.bound();
@@ -217,18 +220,20 @@
         }
     }
 
-    // ---- Time ---------------------------------------------------------------------------------------------------
+    // ---- Time ---------------------------------------------------------------------------------------------
 
     /**
-     * When the SLA time ends, counted from the client's first try. First tries of a type bring one and the same
-     * budget; any other budget is what is left of the type's expiry, so the difference has already gone by. Guards
-     * against serving repeats that can earn nothing while fresh txns wait; errs on the side of serving.
+     * When the SLA time ends, counted from the client's first try. First tries of a type bring one and the
+     * same budget; any other budget is what is left of the type's expiry, so the difference has already gone
+     * by. Guards against serving repeats that can earn nothing while fresh txns wait; errs on the side of
+     * serving.
      */
     private long slaEnd(Txn txn) {
         long budget = txn.expiry - txn.arrived;
         Samples budgets = txn.type.budgets();
         budgets.add(budget, 0, txn.arrived);
-        // Eight samples tell a cluster from scatter; arrivals are read once a tick, so equal budgets spread by one.
+        // Eight samples tell a cluster from scatter; arrivals are read once a tick, so equal budgets spread
+        // by one.
         long first = budgets.densest(8 * MS);
         boolean firstTry = budgets.size() < 8 || Math.abs(budget - first) <= 8 * MS;
         long gone = firstTry ? 0 : Math.max(0, txn.type.expiry() - budget);
@@ -236,8 +241,9 @@
     }
 
     /**
-     * When a held read may go to the primary: the design's default, one SLA time before its expiry, or earlier where
-     * the primary's answer would else come too late. One and a half usual times cover two answers in three.
+     * When a held read may go to the primary: the design's default, one SLA time before its expiry, or
+     * earlier where the primary's answer would else come too late. One and a half usual times cover two
+     * answers in three.
      */
     private long release(Txn txn) {
         Host primary = txn.group.primary;
@@ -254,7 +260,8 @@
 
     /** Late answers that earn nothing are not waited for. */
     private long timeout(Txn txn, long now) {
-        return (txn.type.late() > 0 || txn.type.effect() != Effect.REPEATABLE ? txn.expiry : txn.slaEnd) - now;
+        boolean late = txn.type.late() > 0 || txn.type.effect() != Effect.REPEATABLE;
+        return (late ? txn.expiry : txn.slaEnd) - now;
     }
 
     private long nextLook(Txn txn, long now) {
@@ -272,56 +279,61 @@
         return mean == 0 ? 200 * MS : Math.max(20 * MS, (long) mean);
     }
 
-    // ---- Load ---------------------------------------------------------------------------------------------------
+    // ---- Load ---------------------------------------------------------------------------------------------
 
     /**
-     * Whether this host would answer one more txn in time: its recent times, scaled by the submissions of this
-     * router out there now against those out there then.
+     * Whether this host would answer one more txn in time: its recent times, scaled by the submissions of
+     * this router out there now against those out there then.
      */
     private boolean roomFor(Host host, Txn txn, long now) {
         // Work that was abandoned may still be done there, but not for ever.
         host.abandoned.removeIf(old -> now > old.txn.expiry);
         int n = host.out.size() + host.abandoned.size();
-        // A host that turned a txn away is left to work off a part of its queue, so that rejections, which cost it
-        // work too and count against a cold host, don't feed a storm of further submissions.
+        // A host that turned a txn away is left to work off a part of its queue, so that rejections, which
+        // cost it work too and count against a cold host, don't feed a storm of further submissions.
         if (now < host.fullAt + usual(host) / 2) {
             return false;
         }
         long left = (now < txn.slaEnd ? txn.slaEnd : txn.expiry) - now;
-        // Older times tell of a load that may be gone: a host that was slow and is sent little would look slow for ever.
+        // Older times tell of a load that may be gone: a host that was slow and is sent little would look
+        // slow for ever.
         long since = now - 3_000 * MS;
-        // Nine over all routers keep a small primary busy; on a replica, which has to apply the log beside them, it is
-        // one each while that makes no more than six, and three for any reads on one that lags.
+        // Nine over all routers keep a small primary busy; on a replica, which has to apply the log beside
+        // them, it is one each while that makes no more than six, and three for any reads on one that lags.
         int routers = Integer.parseInt(start.getOrDefault("replicas_of_me", "1"));
         boolean crowds = txn.type.read() == Read.ANY && host.lag > tightest;
         int few = host == host.group.primary ? 9 / routers : crowds ? 3 / routers : Math.min(1, 6 / routers);
         int out = host.out.size();
         if (host.times.size() < 4) {
-            return out < Math.max(1, few);
+            return out < Math.max(1, 6 / routers);
         }
-        // Work takes about a fifth of the SLA time and spreads to twice its mean, so at three tenths a host has little
-        // more queue than it needs to stay busy; what waits beyond that waits here, where the order can change.
+        // Work takes about a fifth of the SLA time and spreads to twice its mean, so at three tenths a host
+        // has little more queue than it needs to stay busy; what waits beyond that waits here, where the
+        // order can change.
         boolean recent = host.times.since(since) >= 4;
         double mean = recent ? host.times.mean(since) : host.times.mean();
         double beside = Math.max(1, recent ? host.times.meanBeside(since) : 1);
-        // On a replica that lags by a bound, any reads hold back, so that its apply thread gets its part of the cores.
+        // On a replica that lags by a bound, any reads hold back, so that its apply thread gets its part of
+        // the cores.
         double most = Math.min((crowds ? 0.2 : 0.3) * txn.type.sla(), 0.6 * left);
-        if (recent && mean * (n + 1) / beside <= most || mean <= most && (out == 0 || recent && n <= beside)) {
+        if (recent && mean * (n + 1) / beside <= most
+                || mean <= most && (out == 0 || recent && n <= beside)) {
             return true;
         }
-        // Among few others a txn takes what the quicker half does; with less left the work would be for nothing. A
-        // host too slow even so is kept busy by the others, and this router's single txns keep a distance.
-        // Abandoned work doesn't count here: only answers to later sends can tell that it is done with.
+        // Among few others a txn takes what the quicker half does; with less left the work would be for
+        // nothing. A host too slow even so is kept busy by the others, and this router's single txns keep a
+        // distance. Abandoned work doesn't count here: only answers to later sends can tell that it is done
+        // with.
         return out < few && (!recent || host.times.quantile(0.5) <= left)
                 || out == 0 && (host.sends.isEmpty()
                 || now - host.sends.peekLast() >= mean * mean / (0.3 * txn.type.sla()));
     }
 
     /**
-     * Rule 4: a cold host gets no more than its share of what a warm member of the group committed for this router.
-     * Warm members bore that, so all routers together stay under the cold host's present capacity. Sends would not
-     * do: a warm member that turns most of them away bears far less than it is sent. Where all of a group is cold, as
-     * after a site came back, the warm members of the other groups tell.
+     * Rule 4: a cold host gets no more than its share of what a warm member of the group committed for this
+     * router. Warm members bore that, so all routers together stay under the cold host's present capacity.
+     * Sends would not do: a warm member that turns most of them away bears far less than it is sent. Where
+     * all of a group is cold, as after a site came back, the warm members of the other groups tell.
      */
     private boolean coldAllows(Host host, long now) {
         long warm = micros("rules.warm_within_us");
@@ -366,11 +378,12 @@
         return Long.parseLong(start.getOrDefault(name, "0")) * 1_000;
     }
 
-    // ---- Health -------------------------------------------------------------------------------------------------
+    // ---- Health -------------------------------------------------------------------------------------------
 
     /**
-     * How much the silence of a host speaks against it: the waiting of all submissions out there since it last
-     * spoke, in usual times. Answers that come at random at the usual rate stay silent so long with chance e^-x.
+     * How much the silence of a host speaks against it: the waiting of all submissions out there since it
+     * last spoke, in usual times. Answers that come at random at the usual rate stay silent so long with
+     * chance e^-x.
      */
     private double silence(Host host, long now) {
         double waited = 0;
@@ -456,7 +469,7 @@
         return Verdict.rollBack(List.of());
     }
 
-    // ---- The second question: what to do after this outcome -----------------------------------------------------
+    // ---- The second question: what to do after this outcome -----------------------------------------------
 
     @Override
     public Verdict after(Submission s, Outcome outcome, boolean settled, Word answer, Word report, long now) {
@@ -477,7 +490,8 @@
             } else if (outcome == Outcome.FULL) {
                 host.fullAt = now;
             }
-        } else if (outcome == Outcome.TIMED_OUT || outcome == Outcome.RESET || outcome == Outcome.UNREACHABLE) {
+        } else if (outcome == Outcome.TIMED_OUT || outcome == Outcome.RESET
+                || outcome == Outcome.UNREACHABLE) {
             if (host.lastHeard < s.sent) {
                 host.ends.add(0, 0, now);
             }
@@ -524,7 +538,7 @@
         return others;
     }
 
-    // ---- The record of positions and roles ----------------------------------------------------------------------
+    // ---- The record of positions and roles ----------------------------------------------------------------
 
     private void hear(Host host, Word word, boolean direct, long now) {
         Group group = host.group;
@@ -539,7 +553,8 @@
         if (word.role() == Role.PRIMARY && stamp >= group.primaryAt) {
             group.primaryAt = stamp;
             group.primary = host;
-        } else if (word.role() == Role.REPLICA && group.primary == host && (direct || stamp > group.primaryAt)) {
+        } else if (word.role() == Role.REPLICA && group.primary == host
+                && (direct || stamp > group.primaryAt)) {
             group.primary = null;
         }
     }
@@ -549,7 +564,8 @@
         host.probeOut = false;
         host.group.changed = true;
         if (outcome == Outcome.COMMITTED) {
-            // What was held against a host that could not be reached is settled by reaching it; silence is not.
+            // What was held against a host that could not be reached is settled by reaching it; silence is
+            // not.
             if (!host.met) {
                 host.ends.clear();
             }
@@ -581,7 +597,8 @@
         host.state = state;
         if (leader && group.namedByRoster != host) {
             group.namedByRoster = host;
-            if (group.primary == null || group.primary.state != Host.State.READY || doubtful(group.primary, now)) {
+            if (group.primary == null || group.primary.state != Host.State.READY
+                    || doubtful(group.primary, now)) {
                 group.primary = host;
             }
         }
@@ -592,7 +609,7 @@
         drop(txn);
     }
 
-    // ---- The third question: how long to wait -------------------------------------------------------------------
+    // ---- The third question: how long to wait -------------------------------------------------------------
 
     @Override
     public Pause pause(long now) {
@@ -610,9 +627,10 @@
         }
         List<Txn> order = new ArrayList<>(again);
         double[] weights = weights();
-        // Of equal worth the one with most time left goes first: with more work than room, the oldest first would have
-        // each txn served when it is nearly too late, and many when it is.
-        order.sort(Comparator.<Txn>comparingDouble(t -> -worth(t, now) * weights[t.type.place()]).thenComparingLong(t -> -t.slaEnd)
+        // Of equal worth the one with most time left goes first: with more work than room, the oldest first
+        // would have each txn served when it is nearly too late, and many when it is.
+        order.sort(Comparator.<Txn>comparingDouble(t -> -worth(t, now) * weights[t.type.place()])
+                .thenComparingLong(t -> -t.slaEnd)
                 .thenComparingLong(t -> t.number));
         List<Host> probes = probes(now);
         long until = agenda.isEmpty() ? NEVER : agenda.first().look;
@@ -620,9 +638,10 @@
     }
 
     /**
-     * What a unit of value counts in the goal, by txn type: its part of the whole, and for the types served worst
-     * their part of that term, spread over the little value that such a type asks for. Guards against starving a type
-     * for another of higher value; harm: a type that nobody can serve still goes first, at no cost to the hosts.
+     * What a unit of value counts in the goal, by txn type: its part of the whole, and for the types served
+     * worst their part of that term, spread over the little value that such a type asks for. Guards against
+     * starving a type for another of higher value; harm: a type that nobody can serve still goes first, at no
+     * cost to the hosts.
      */
     private double[] weights() {
         double[] weights = new double[types.size()];
@@ -634,7 +653,8 @@
         }
         for (TxnType type : types) {
             double part = Math.max(0.05, mix.count(type.place()) * type.value() / Math.max(1, asked));
-            // Within a tenth of the worst a type may be the worst one soon: samples of 64 are as rough as that.
+            // Within a tenth of the worst a type may be the worst one soon: samples of 64 are as rough as
+            // that.
             boolean behind = type.served().size() >= 8 && type.served().mean() <= worst + 0.1;
             weights[type.place()] = goal("whole") + (behind ? goal("worst_class") / part : 0);
         }
@@ -677,22 +697,25 @@
                     continue;
                 }
                 if (!host.met || lost) {
-                    // An unreachable host is not trusted before a probe has come through, which costs less than a
-                    // txn's wait for a connection; it is asked ever more rarely, every two seconds in the end.
-                    int failed = Math.min(5, host.ends.since(host.lastHeard) - (int) host.ends.sumSince(host.lastHeard));
-                    probe(host, Math.min(2_000 * MS, 100 * MS << failed), ask, now);
+                    // An unreachable host is not trusted before a probe has come through, which costs less
+                    // than a txn's wait for a connection; it is asked ever more rarely, every two seconds in
+                    // the end.
+                    long failed = host.ends.since(host.lastHeard) - host.ends.sumSince(host.lastHeard);
+                    probe(host, Math.min(2_000 * MS, 100 * MS << Math.min(5, failed)), ask, now);
                 } else if (needy != null && host.position < wanted && host != group.primary
                         && roomFor(host, needy, now) && !doubtful(host, now)) {
-                    // A member that couldn't take the read anyway isn't asked: its answer would be old by then.
+                    // A member that couldn't take the read anyway isn't asked: its answer would be old by
+                    // then.
                     behind.add(host);
                 }
             }
-            // As many at once as a tenth of the value that waits pays for: where probes are dear the members are
-            // asked one after the other, the one that was furthest first, as one fresh member is enough.
+            // As many at once as a tenth of the value that waits pays for: where probes are dear the members
+            // are asked one after the other, the one that was furthest first, as one fresh member is enough.
             long pays = Math.max(1, (long) (0.1 * waiting / topValue / fee("probe")));
             behind.sort(Comparator.<Host>comparingLong(h -> -h.position));
             for (Host host : behind) {
-                // A member far behind can't be there soon: ask again after half of what it lacks, a second at most.
+                // A member far behind can't be there soon: ask again after half of what it lacks, a second at
+                // most.
                 long every = Math.max(100 * MS, Math.min(1_000 * MS, (wanted - host.position) / 2));
                 if (out < pays && probe(host, every, ask, now)) {
                     out++;
--- a/src/main/java/beaconladder/api/Router.java
+++ b/src/main/java/beaconladder/api/Router.java
@@ -8,8 +8,8 @@
 /**
  * The decisions of one router, asked like a client library: three questions and a few plain notices.
  *
- * <p>Every call carries the clock, in nanoseconds, which never runs backwards. An instance belongs to one router
- * and one thread.
+ * <p>Every call carries the clock, in nanoseconds, which never runs backwards. An instance belongs to one
+ * router and one thread.
  */
 public interface Router {
 
@@ -54,7 +54,8 @@
      * @param answer what the answer itself says (exact when it was given)
      * @param report a report that came along, of some age
      */
-    Verdict after(Submission submission, Outcome outcome, boolean settled, Word answer, Word report, long now);
+    Verdict after(Submission submission, Outcome outcome, boolean settled, Word answer, Word report,
+            long now);
 
     /** Third question: how long to wait; names the members to probe and the txns to ask about again. */
     Pause pause(long now);
--- a/src/main/java/beaconladder/drill/Drill.java
+++ b/src/main/java/beaconladder/drill/Drill.java
@@ -122,7 +122,8 @@
                 int group = (int) in.f32();
                 long budget = in.u32();
                 int bits = in.u8();
-                to.request(call, type, session, sinceWriteMillis, tenant, group, budget, (bits & 2) != 0, clock);
+                to.request(call, type, session, sinceWriteMillis, tenant, group, budget, (bits & 2) != 0,
+                        clock);
             }
             case 1030 -> {
                 in.u64();
--- a/src/main/java/beaconladder/drill/Instance.java
+++ b/src/main/java/beaconladder/drill/Instance.java
@@ -108,17 +108,19 @@
         }
     }
 
-    void request(long call, int type, long session, float sinceWriteMillis, int tenant, int group, long budget,
-            boolean repeated, long clock) {
+    void request(long call, int type, long session, float sinceWriteMillis, int tenant, int group,
+            long budget, boolean repeated, long clock) {
         if (router == null) {
             return;
         }
         guard(() -> {
             long now = clock * 1_000;
             // The age of a write is rounded down, that is, toward the newer position.
-            long sinceWrite = sinceWriteMillis > 0 ? Math.max(1, (long) (Math.nextDown(sinceWriteMillis) * 1e6)) : 0;
-            Txn txn = new Txn(call, router.type(type), groups.computeIfAbsent(group, Group::new), session, sinceWrite,
-                    tenant, repeated, now, now + budget * 1_000, taken++);
+            long sinceWrite = sinceWriteMillis > 0
+                    ? Math.max(1, (long) (Math.nextDown(sinceWriteMillis) * 1e6)) : 0;
+            Group of = groups.computeIfAbsent(group, Group::new);
+            Txn txn = new Txn(call, router.type(type), of, session, sinceWrite, tenant, repeated, now,
+                    now + budget * 1_000, taken++);
             txns.put(call, txn);
             act(txn, router.place(txn, now), now);
         });
--- a/src/main/java/beaconladder/fleet/Txn.java
+++ b/src/main/java/beaconladder/fleet/Txn.java
@@ -29,8 +29,8 @@
     /** When it is to be looked at again. */
     public long look = Long.MAX_VALUE;
 
-    public Txn(long id, TxnType type, Group group, long session, long sinceWrite, int tenant, boolean repeated,
-            long arrived, long expiry, long number) {
+    public Txn(long id, TxnType type, Group group, long session, long sinceWrite, int tenant,
+            boolean repeated, long arrived, long expiry, long number) {
         this.id = id;
         this.type = type;
         this.group = group;
--- a/src/main/java/beaconladder/fleet/TxnType.java
+++ b/src/main/java/beaconladder/fleet/TxnType.java
@@ -52,8 +52,10 @@
             };
             long bound = i < bounds.length && !bounds[i].isEmpty() ? nanos(bounds[i]) : 0;
             long expiry = nanos(start.getOrDefault(at + "give_up_us", "1000000"));
-            long sla = start.containsKey(at + "goal_time_us") ? nanos(start.get(at + "goal_time_us")) : expiry;
-            types.add(new TxnType(i, read, bound, effect, scope, nanos(start.getOrDefault(at + "key_ttl_us", "0")),
+            String stated = start.get(at + "goal_time_us");
+            long sla = stated == null ? expiry : nanos(stated);
+            types.add(new TxnType(i, read, bound, effect, scope,
+                    nanos(start.getOrDefault(at + "key_ttl_us", "0")),
                     sla, expiry, Double.parseDouble(start.getOrDefault(at + "points", "1")),
                     Double.parseDouble(start.getOrDefault(at + "late_share", "0")), new Samples(32),
                     new Samples(64)));
--- a/src/test/java/beaconladder/LogicTest.java
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -146,8 +146,8 @@
 
     @Test
     void nothingNewGoesToADrainingOrGoneHost() {
-        Script s = Script.warm().list("b", false, Host.State.DRAINING, 0).ask(1, ANY, 0, 2000).ask(2, ANY, 0, 2000)
-                .list("c", false, Host.State.GONE, 0).ask(3, ANY, 0, 2000).tick(10)
+        Script s = Script.warm().list("b", false, Host.State.DRAINING, 0).ask(1, ANY, 0, 2000)
+                .ask(2, ANY, 0, 2000).list("c", false, Host.State.GONE, 0).ask(3, ANY, 0, 2000).tick(10)
                 .list("a", true, Host.State.DRAINING, 0).ask(4, WRITE, 0, 400).tick(500);
         assertThat(s.trace()).isEqualTo("""
                 0 ask 1 any
@@ -217,7 +217,8 @@
 
     @Test
     void aRestartedRouterTrustsNoReplicaBeforeItsProbe() {
-        Script s = new Script().list("a*", "b", "c").ask(1, ANY, 0, 2000).tick(5).probed("c", Role.REPLICA, -900);
+        Script s = new Script().list("a*", "b", "c").ask(1, ANY, 0, 2000).tick(5)
+                .probed("c", Role.REPLICA, -900);
         assertThat(s.trace()).isEqualTo("""
                 0 ask 1 any
                 0 probe a
@@ -245,8 +246,9 @@
 
     @Test
     void aRepeatableTxnAtAHostGoneSilentGetsACopyElsewhere() {
-        Script s = Script.warm().list("c", false, Host.State.GONE, 0).ask(1, ANY, 0, 2000).ask(2, ANY, 0, 2000)
-                .ask(3, ANY, 0, 2000).tick(300).list("c", false, Host.State.READY, 0).tick(700)
+        Script s = Script.warm().list("c", false, Host.State.GONE, 0).ask(1, ANY, 0, 2000)
+                .ask(2, ANY, 0, 2000).ask(3, ANY, 0, 2000).tick(300)
+                .list("c", false, Host.State.READY, 0).tick(700)
                 .end(1, Outcome.COMMITTED, Role.REPLICA, 650);
         assertThat(s.trace()).isEqualTo("""
                 0 ask 1 any
--- a/src/test/java/beaconladder/Script.java
+++ b/src/test/java/beaconladder/Script.java
@@ -166,7 +166,8 @@
             case WAIT -> { }
             default -> {
                 txn.ended = true;
-                say("  " + verdict.step().name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ') + " " + txn.id
+                say("  " + verdict.step().name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ') + " "
+                        + txn.id
                         + (verdict.comeBack() > 0 ? ", back in " + verdict.comeBack() / MS : ""));
             }
         }
--- a/src/test/java/beaconladder/drill/DrillTest.java
+++ b/src/test/java/beaconladder/drill/DrillTest.java
@@ -32,7 +32,8 @@
 
     @Test
     void eachInstanceStartsProbesAndSendsAfterItsOwnProbe() throws Exception {
-        String request = "03fc ff07843b5d3a91c4 00 00000000 0000000000000000 00000000 00000000 3f800000 00061a80 00";
+        String request = "03fc ff07843b5d3a91c4 00 00000000 0000000000000000"
+                + "00000000 00000000 3f800000 00061a80 00";
         String sampled = "042e 00000012 00000100 0000 00";
         assertThat(drill(batch(9, "0456 00000000" + start() + "0456 00000003" + start() + LIST + request
                 + "0456 00000000 0424 0000000000000063") + batch(2, "0456 00000003" + sampled)))
@@ -44,7 +45,8 @@
 
     @Test
     void badInputIsNamedWithItsPosition() {
-        assertThatThrownBy(() -> drill("00000001")).hasMessage("bad input at byte 4: the input ends inside a batch header");
+        assertThatThrownBy(() -> drill("00000001"))
+                .hasMessage("bad input at byte 4: the input ends inside a batch header");
         assertThatThrownBy(() -> drill(batch(1, "0456 00000003").substring(0, 40)))
                 .hasMessage("bad input at byte 20: the input ends inside a batch of 6 bytes");
         assertThatThrownBy(() -> drill(batch(2, "0456 00000003 0999")))
