--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -140,6 +140,10 @@
         int j = chance.nextInt(fit.size() - 1);
         Host a = fit.get(i);
         Host b = fit.get(j >= i ? j + 1 : j);
+        if (a.out.size() == b.out.size()) {
+            // A tie of the design's pick goes to the nearer one, as crossing zones has its price.
+            return b.zone == Integer.parseInt(start.getOrDefault("my_zone", "0")) ? b : a;
+        }
         return b.out.size() < a.out.size() ? b : a;
     }
 
