Cold hosts are sent to on tickets drawn per arrival instead of one a router

A ticket is drawn for each txn of the group that comes in, so the sum over all routers is the cold host's part of the traffic whatever their number and however uneven they are. Covers: restarts of one host, of a group, of a site. Harm: hosts are kept small for the longest stated warm-up.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -13,7 +13,6 @@
 import beaconladder.fleet.TxnType.Effect;
 import beaconladder.fleet.TxnType.Read;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -51,6 +50,8 @@
     private final LinkedHashMap<Long, Session> sessions = new LinkedHashMap<>(64, 0.75f, true);
     /** The types of the txns that came last. */
     private final Samples mix = new Samples(256);
+    /** How the last txns ended: 1 for a commit. */
+    private final Samples fates = new Samples(32);
     private long probeLook = NEVER;
 
     public Logic(long seed, Map<String, String> start) {
@@ -76,6 +77,7 @@
             txn.target = sessionTarget(txn);
             txn.slaEnd = slaEnd(txn);
             mix.add(txn.type.place(), 0, now);
+            drawTickets(txn.group, now);
         }
         drop(txn);
         Verdict verdict = decide(txn, now);
@@ -99,7 +101,7 @@
             return copy(txn, now);
         }
         if (txn.submissions.size() >= mostSubmissions(txn) || now >= lastUse(txn)) {
-            return giveUp(txn);
+            return giveUp(txn, now);
         }
         Host host = choose(txn, now);
         if (host != null) {
@@ -334,36 +336,48 @@
     }
 
     /**
-     * Rule 4: a cold host gets no more than its share of what a warm member of the group committed for this
-     * router. Warm members bore that, so all routers together stay under the cold host's present capacity.
-     * Sends would not do: a warm member that turns most of them away bears far less than it is sent. Where
-     * all of a group is cold, as after a site came back, the warm members of the other groups tell.
+     * Rule 4: a cold host is sent to on tickets alone. Each txn that comes in for its group draws one with the
+     * chance that a warm member would get it, times the host's present share, times the share of txns that the
+     * hosts have lately borne (what they couldn't is no measure of what they can). Over all routers, however
+     * many and however uneven, that sums to the host's part, with no router counting the others; a ticket that
+     * isn't used within the rule's window lapses, so that waiting txns can't save up for a burst. Guards against
+     * any return of hosts, single or of a whole group; harm: a host is kept small for the longest time it may
+     * need.
      */
+    private void drawTickets(Group group, long now) {
+        int ready = 0;
+        for (Host host : group.members) {
+            ready += host.state == Host.State.READY ? 1 : 0;
+        }
+        for (Host host : group.members) {
+            if (cold(host, now) && host.state == Host.State.READY) {
+                double least = Double.parseDouble(start.getOrDefault("rules.cold_share", "0"));
+                double share = least
+                        + (1 - least) * Math.max(0, now - host.launched) / micros("rules.warm_within_us");
+                // Two fifths of the stated multiple leave room for chance and for tickets of two windows.
+                double safe = Math.min(1, 0.4 * Double.parseDouble(
+                        start.getOrDefault("rules.fall_multiple", "2")));
+                double borne = fates.size() < 8 ? 1 : Math.max(0.2, fates.mean());
+                if (chance.nextDouble() < safe * share * borne / ready) {
+                    host.tickets.addLast(now);
+                }
+            }
+        }
+    }
+
+    private boolean cold(Host host, long now) {
+        return host.launched > 0 && now < host.launched + micros("rules.warm_within_us");
+    }
+
     private boolean coldAllows(Host host, long now) {
-        long warm = micros("rules.warm_within_us");
-        if (host.launched <= 0 || now >= host.launched + warm) {
+        if (!cold(host, now)) {
             return true;
         }
         long window = micros("rules.fall_us");
-        double cold = Double.parseDouble(start.getOrDefault("rules.cold_share", "0"));
-        double share = cold + (1 - cold) * Math.max(0, now - host.launched) / warm;
-        double bore = Math.max(bore(List.of(host.group), now, window, warm), bore(groups, now, window, warm));
-        return sendsSince(host, now - window) + 1 <= Math.max(1, share * bore);
-    }
-
-    /** What a warm member of these groups committed for this router in the window, on the average. */
-    private static double bore(Collection<Group> of, long now, long window, long warm) {
-        int bore = 0;
-        int members = 0;
-        for (Group group : of) {
-            for (Host host : group.members) {
-                if (host.state == Host.State.READY && host.met && now >= host.launched + warm) {
-                    bore += host.times.since(now - window);
-                    members++;
-                }
-            }
+        while (!host.tickets.isEmpty() && host.tickets.peekFirst() < now - window) {
+            host.tickets.removeFirst();
         }
-        return (double) bore / Math.max(1, members);
+        return !host.tickets.isEmpty();
     }
 
     private int sendsSince(Host host, long time) {
@@ -376,6 +390,7 @@
     private void noteSend(Host host, long now) {
         sendsSince(host, now - micros("rules.fall_us"));
         host.sends.addLast(now);
+        host.tickets.pollFirst();
     }
 
     private long micros(String name) {
@@ -460,8 +475,9 @@
         }
     }
 
-    private Verdict giveUp(Txn txn) {
+    private Verdict giveUp(Txn txn, long now) {
         served(txn, false);
+        fates.add(0, 0, now);
         Submission ran = txn.mayHaveRun();
         Effect effect = txn.type.effect();
         if (ran == null || effect == Effect.REPEATABLE
@@ -524,6 +540,7 @@
         if (settled) {
             drop(txn);
             served(txn, outcome == Outcome.COMMITTED && now <= txn.slaEnd);
+            fates.add(outcome == Outcome.COMMITTED ? 1 : 0, 0, now);
             return Verdict.done(othersOut(txn));
         }
         return place(txn, now);
--- a/src/main/java/beaconladder/fleet/Host.java
+++ b/src/main/java/beaconladder/fleet/Host.java
@@ -43,6 +43,8 @@
     public final Samples times = new Samples(16);
     /** Recent ends: 1 for an answer, 0 for none. */
     public final Samples ends = new Samples(16);
+    /** When each of the sends that a cold host may still get was granted, oldest first. */
+    public final ArrayDeque<Long> tickets = new ArrayDeque<>();
     /** Times of the sends within the window that the caller keeps. */
     public final ArrayDeque<Long> sends = new ArrayDeque<>();
 
--- a/src/test/java/beaconladder/LogicTest.java
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -161,7 +161,7 @@
     }
 
     @Test
-    void aColdHostGetsItsShareOfWhatWarmMembersCommit() {
+    void aColdHostIsSentToOnTicketsAlone() {
         Script s = Script.warm().tick(10).list("b", false, Host.State.READY, 10).tick(11)
                 .probed("b", Role.REPLICA, 10).quiet();
         for (int i = 0; i < 8; i++) {
