Held txns pay for probes by value; members not heard lately are asked before a send

Cause: a router of the grown deployments hears of a host every twenty seconds or less. Change: a held txn buys probes with a seventh of its value, two at once and the rest spread over its time; nobody is probed without a txn that wants it. Where two probes cost under three points in a hundred, or first submissions went wrong of late, members not heard of within 300 ms are asked before the send. A report's load (all routers') counts in the pick of two and, by a line of times over loads, in the admission where the router's own times are few. Covers: dead, cut off and crowded members, lost roles. Harm: probes' price, and a host that reports falsely draws work.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -37,6 +37,10 @@
     private static final long MS = 1_000_000L;
     private static final long NEVER = Long.MAX_VALUE;
     private static final long UNBOUND = Long.MIN_VALUE;
+    /** Reports are up to a quarter second old when they come; what was said before that is history. */
+    private static final long YOUNG = 300 * MS;
+    /** A probe answers within a few milliseconds and a tick; a member that took longer is passed over. */
+    private static final long MUTE = 40 * MS;
 
     private final SplittableRandom chance;
     private final Map<String, String> start;
@@ -50,6 +54,12 @@
     private final LinkedHashMap<Long, Session> sessions = new LinkedHashMap<>(64, 0.75f, true);
     /** The types of the txns that came last. */
     private final Samples mix = new Samples(256);
+    /** Times of the last answers, each with what its host had said that it held when it was sent. */
+    private final Samples paces = new Samples(48);
+    /** How old the positions of replicas were when they last came with a probe. */
+    private final Samples stale = new Samples(32);
+    /** How the last first submissions ended: 0 for in time, 1 for not. */
+    private final Samples faults = new Samples(32);
     /** How the last txns ended: 1 for a commit. */
     private final Samples fates = new Samples(32);
     private long probeLook = NEVER;
@@ -103,6 +113,7 @@
         if (txn.submissions.size() >= mostSubmissions(txn) || now >= lastUse(txn)) {
             return giveUp(txn, now);
         }
+        txn.want = Txn.Want.NOTHING;
         Host host = choose(txn, now);
         if (host != null) {
             return Verdict.send(host, timeout(txn, now));
@@ -135,6 +146,19 @@
                 fit.add(host);
             }
         }
+        if (mayAsk(txn)) {
+            if (fit.isEmpty()) {
+                txn.want = Txn.Want.MEMBER;
+            } else if (worthAsking(txn, now)) {
+                List<Host> young = new ArrayList<>(fit);
+                young.removeIf(host -> !informed(host, now));
+                if (young.size() < 2 && (young.isEmpty() || txn.asked < 2) && answerDue(txn, now)) {
+                    txn.want = Txn.Want.MEMBER;
+                    return null;
+                }
+                fit = young.isEmpty() ? fit : young;
+            }
+        }
         if (fit.size() < 2) {
             return fit.isEmpty() ? null : fit.get(0);
         }
@@ -142,17 +166,98 @@
         int j = chance.nextInt(fit.size() - 1);
         Host a = fit.get(i);
         Host b = fit.get(j >= i ? j + 1 : j);
-        if (a.out.size() == b.out.size()) {
+        boolean said = said(a, now) && said(b, now);
+        double busyA = said ? load(a) : a.out.size();
+        double busyB = said ? load(b) : b.out.size();
+        if (busyA == busyB) {
             // A tie of the design's pick goes to the nearer one, as crossing zones has its price.
             return b.zone == Integer.parseInt(start.getOrDefault("my_zone", "0")) ? b : a;
         }
-        return b.out.size() < a.out.size() ? b : a;
+        return busyB < busyA ? b : a;
+    }
+
+    /** Whether a member that could still be asked is there, or an answer that is worth the wait under way. */
+    private boolean answerDue(Txn txn, long now) {
+        for (Host host : txn.group.members) {
+            if (host.state == Host.State.READY && host != txn.group.primary && !informed(host, now)
+                    && (host.probeOut ? !mute(host, now) : now >= host.probeSent + YOUNG / 3)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whether the host told of its load lately. */
+    private boolean said(Host host, long now) {
+        return host.holds >= 0 && now - host.saidAt <= YOUNG;
+    }
+
+    /** What the host said that it holds, and what this router has sent it since. */
+    private double load(Host host) {
+        double load = host.holds;
+        for (Submission s : host.out) {
+            load += s.sent >= host.saidAt ? 1 : 0;
+        }
+        return load;
+    }
+
+    /** Whether the host spoke lately, or answers this router so often that its times tell as much. */
+    private boolean informed(Host host, long now) {
+        return now - host.saidAt <= YOUNG || host.times.since(now - 3_000 * MS) >= 4;
+    }
+
+    private boolean mute(Host host, long now) {
+        return host.probeOut && now - host.probeSent > MUTE;
+    }
+
+    /** A held txn pays for as many probes as a seventh of its value buys, two at the least. */
+    private boolean mayAsk(Txn txn) {
+        return txn.out() == 0 && txn.asked < budget(txn) && probesAllowed();
+    }
+
+    /** Allowed unless the settings say no; there, members are trusted without one. */
+    private boolean probesAllowed() {
+        return !"false".equals(start.get("limits.probes"));
+    }
+
+    private int budget(Txn txn) {
+        return (int) Math.max(2, Math.min(1_000, 0.15 * txn.type.value() / (fee("probe") * meanValue())));
+    }
+
+    /** The mean value of the txns that come here, in which prices are reckoned. */
+    private double meanValue() {
+        double sum = 0;
+        for (TxnType type : types) {
+            sum += mix.count(type.place()) * type.value();
+        }
+        return mix.size() == 0 ? topValue : sum / mix.size();
+    }
+
+    /**
+     * Whether to ask before a send to members that were not heard of lately. Where two probes cost under
+     * three points in a hundred it is always done; where they are dearer, once the first submissions that
+     * went wrong of late, half of which asking should save, cost more than it does. Covers whatever shows in
+     * a probe: dead and unreachable members, queues, changed roles. Harm: the price and some milliseconds,
+     * where nothing is wrong.
+     */
+    private boolean worthAsking(Txn txn, long now) {
+        double price = fee("probe") * meanValue();
+        double wrong = faults.sumSince(now - 20_000 * MS) / (faults.since(now - 20_000 * MS) + 4.0);
+        return 2 * fee("probe") <= 0.03 || 0.5 * wrong * txn.type.value() > price;
     }
 
     private Host primaryFor(Txn txn, long now) {
         Host primary = txn.group.primary;
-        if (primary == null || primary.state != Host.State.READY || !primary.met || tried(txn, primary)
-                || !roomFor(primary, txn, now) || !coldAllows(primary, now) || !trusted(primary, now)) {
+        if (primary == null || primary.state != Host.State.READY
+                || !primary.met && probesAllowed() || !trusted(primary, now)) {
+            txn.want = mayAsk(txn) ? Txn.Want.PRIMARY : Txn.Want.NOTHING;
+            return null;
+        }
+        if (!informed(primary, now) && mayAsk(txn) && worthAsking(txn, now)) {
+            txn.want = Txn.Want.PRIMARY;
+            return null;
+        }
+        if (tried(txn, primary) || !roomFor(primary, txn, now) || !coldAllows(primary, now)) {
             return null;
         }
         return primary;
@@ -169,7 +274,7 @@
     }
 
     private boolean fresh(Host host, long target) {
-        return host.state == Host.State.READY && host != host.group.primary && host.met
+        return host.state == Host.State.READY && host != host.group.primary && (host.met || !probesAllowed())
                 && host.position >= target;
     }
 
@@ -276,7 +381,7 @@
             look = Math.min(look, release(txn));
         }
         // Draws for doubtful hosts and the budget of cold ones change with time alone.
-        return Math.max(now + 5 * MS, Math.min(look, now + 100 * MS));
+        return Math.max(now + 5 * MS, Math.min(look, now + (txn.want == Txn.Want.NOTHING ? 100 * MS : MUTE)));
     }
 
     /** The usual time of an answer from this host. */
@@ -307,6 +412,9 @@
         // Nine over all routers keep a small primary busy; on a replica, which has to apply the log beside
         // them, it is one each while that makes no more than six, and three for any reads on one that lags.
         int routers = Integer.parseInt(start.getOrDefault("replicas_of_me", "1"));
+        if (said(host, now) && host.times.since(since) < 4) {
+            return roomByReport(host, txn, left);
+        }
         boolean crowds = txn.type.read() == Read.ANY && host.lag > tightest;
         int few = host == host.group.primary ? 9 / routers : crowds ? 3 / routers : Math.min(1, 6 / routers);
         int out = host.out.size();
@@ -336,13 +444,25 @@
     }
 
     /**
-     * Rule 4: a cold host is sent to on tickets alone. Each txn that comes in for its group draws one with the
-     * chance that a warm member would get it, times the host's present share, times the share of txns that the
-     * hosts have lately borne (what they couldn't is no measure of what they can). Over all routers, however
-     * many and however uneven, that sums to the host's part, with no router counting the others; a ticket that
-     * isn't used within the rule's window lapses, so that waiting txns can't save up for a burst. Guards against
-     * any return of hosts, single or of a whole group; harm: a host is kept small for the longest time it may
-     * need.
+     * The same by what the host says that it holds for all routers, where this one sends it too little to
+     * tell: the time to expect at its load, by the last answers and the loads they met. Holding a txn back
+     * saves no time, only work for nothing, so the time may be most of what is left.
+     */
+    private boolean roomByReport(Host host, Txn txn, long left) {
+        double load = load(host);
+        // Two in hand wait for no core.
+        return paces.size() < 8 || load < 2
+                || paces.expected(load) <= Math.min(0.5 * txn.type.sla(), 0.8 * left);
+    }
+
+    /**
+     * Rule 4: a cold host is sent to on tickets alone. Each txn that comes in for its group draws one with
+     * the chance that a warm member would get it, times the host's present share, times the share of txns
+     * that the hosts have lately borne (what they couldn't is no measure of what they can). Over all
+     * routers, however many and however uneven, that sums to the host's part, with no router counting the
+     * others; a ticket that isn't used within the rule's window lapses, so that waiting txns can't save up
+     * for a burst. Guards against any return of hosts, single or of a whole group; harm: a host is kept
+     * small for the longest time it may need.
      */
     private void drawTickets(Group group, long now) {
         int ready = 0;
@@ -420,6 +540,9 @@
 
     /** A doubtful host gets one txn at a time, drawn from the posterior of its chance of success. */
     private boolean trusted(Host host, long now) {
+        if (mute(host, now)) {
+            return false;
+        }
         if (!doubtful(host, now)) {
             return true;
         }
@@ -507,6 +630,9 @@
             if (outcome == Outcome.COMMITTED) {
                 host.times.add(now - s.sent, s.beside, now);
                 host.group.times.add(now - s.sent, s.beside, now);
+                if (s.holds >= 0 && s.sent - s.saidAt <= YOUNG) {
+                    paces.add(now - s.sent, Math.round(s.holds), now);
+                }
             } else if (outcome == Outcome.FULL) {
                 host.fullAt = now;
             }
@@ -528,8 +654,11 @@
         hear(host, answer, true, now);
         hear(host, report, false, now);
         Txn txn = s.txn;
+        if (s.number == 0 && outcome != Outcome.CANCELLED) {
+            faults.add(outcome == Outcome.COMMITTED && now <= txn.slaEnd ? 0 : 1, 0, now);
+        }
         if (outcome == Outcome.MISS && txn.type.read() == Read.WRITE && host.group.primary == host) {
-            host.group.primary = null;
+            lose(host.group, now);
         }
         if (outcome == Outcome.COMMITTED && txn.type.read() == Read.WRITE) {
             remember(txn, answer.position() == Word.NONE ? now : answer.position());
@@ -563,6 +692,10 @@
 
     private void hear(Host host, Word word, boolean direct, long now) {
         Group group = host.group;
+        if (word.position() != Word.NONE || word.holds() >= 0) {
+            host.saidAt = now;
+            host.holds = word.holds() >= 0 ? word.holds() : host.holds;
+        }
         if (direct && word.position() != Word.NONE) {
             host.lag = now - word.position();
         }
@@ -576,10 +709,15 @@
             group.primary = host;
         } else if (word.role() == Role.REPLICA && group.primary == host
                 && (direct || stamp > group.primaryAt)) {
-            group.primary = null;
+            lose(group, now);
         }
     }
 
+    private void lose(Group group, long now) {
+        group.primary = null;
+        group.lostAt = now;
+    }
+
     @Override
     public void probed(Host host, Outcome outcome, Word report, long now) {
         host.probeOut = false;
@@ -592,6 +730,10 @@
             }
             host.met = true;
             hear(host, report, false, now);
+            host.saidAt = now;
+            if (report.role() == Role.REPLICA && report.position() != Word.NONE) {
+                stale.add(now - report.position(), 0, now);
+            }
         } else {
             host.ends.add(0, 0, now);
         }
@@ -612,7 +754,7 @@
             host.ends.clear();
             host.times.clear();
             if (group.primary == host) {
-                group.primary = null;
+                lose(group, now);
             }
         }
         host.state = state;
@@ -691,61 +833,90 @@
         return now < txn.slaEnd ? txn.type.value() : txn.type.value() * txn.type.late();
     }
 
-    /** Members to ask: those not met yet, and those whose position or role a held txn waits for. */
+    /**
+     * Members to ask, each for the sake of a held txn that pays for it: for one that needs the primary the
+     * member taken for it, or, where that is lost, the member furthest on; for a read the members that may be
+     * fresh enough. A router asks nobody without such a txn: hundreds of them asking at each start and each
+     * return would be a flood of its own.
+     */
     private List<Host> probes(long now) {
         List<Host> ask = new ArrayList<>();
         probeLook = NEVER;
         for (Group group : groups) {
-            long wanted = NEVER;
-            double waiting = 0;
-            boolean lost = false;
-            Txn needy = null;
-            for (Txn txn : group.held) {
-                boolean needsPrimary = txn.type.read() == Read.WRITE || txn.type.read() == Read.CURRENT;
-                lost |= needsPrimary && (group.primary == null || group.primary.state != Host.State.READY
-                        || doubtful(group.primary, now));
-                if (!needsPrimary && !anyFresh(txn, now)) {
-                    wanted = Math.min(wanted, target(txn, now));
-                    waiting += worth(txn, now);
-                    needy = needy == null || txn.slaEnd > needy.slaEnd ? txn : needy;
-                }
-            }
-            int out = 0;
-            List<Host> behind = new ArrayList<>();
+            int due = 0;
             for (Host host : group.members) {
-                out += host.probeOut ? 1 : 0;
-                if (host.state != Host.State.READY || host.probeOut) {
+                due += host.probeOut && !mute(host, now) ? 1 : 0;
+            }
+            for (Txn txn : group.held) {
+                if (txn.want == Txn.Want.NOTHING || !mayAsk(txn)) {
                     continue;
                 }
-                if (!host.met || lost) {
-                    // An unreachable host is not trusted before a probe has come through, which costs less
-                    // than a txn's wait for a connection; it is asked ever more rarely, every two seconds in
-                    // the end.
-                    long failed = host.ends.since(host.lastHeard) - host.ends.sumSince(host.lastHeard);
-                    probe(host, Math.min(2_000 * MS, 100 * MS << Math.min(5, failed)), ask, now);
-                } else if (needy != null && host.position < wanted && host != group.primary
-                        && roomFor(host, needy, now) && !doubtful(host, now)) {
-                    // A member that couldn't take the read anyway isn't asked: its answer would be old by
-                    // then.
-                    behind.add(host);
+                long from = askFrom(txn);
+                if (now < from) {
+                    probeLook = Math.min(probeLook, from);
+                    continue;
                 }
-            }
-            // As many at once as a tenth of the value that waits pays for: where probes are dear the members
-            // are asked one after the other, the one that was furthest first, as one fresh member is enough.
-            long pays = Math.max(1, (long) (0.1 * waiting / topValue / fee("probe")));
-            behind.sort(Comparator.<Host>comparingLong(h -> -h.position));
-            for (Host host : behind) {
-                // A member far behind can't be there soon: ask again after half of what it lacks, a second at
-                // most.
-                long every = Math.max(100 * MS, Math.min(1_000 * MS, (wanted - host.position) / 2));
-                if (out < pays && probe(host, every, ask, now)) {
-                    out++;
+                // As many at once as a tenth of its value pays for, since one or two that answer are enough.
+                int pays = (int) Math.max(1, Math.min(4, 0.1 * worth(txn, now) / topValue / fee("probe")));
+                for (Host host : candidates(txn, now)) {
+                    if (due >= pays) {
+                        break;
+                    }
+                    if (probe(host, pace(host, txn, now), ask, now)) {
+                        due++;
+                        txn.asked++;
+                        txn.askedAt = now;
+                    }
                 }
             }
         }
         return ask;
     }
 
+    /** When this txn may ask again: its first two probes at once, the rest spread over its time. */
+    private long askFrom(Txn txn) {
+        if (txn.asked >= 2) {
+            return txn.askedAt + (txn.expiry - txn.arrived) / budget(txn);
+        }
+        // Before a healthy replica's report can show the session's write there is nothing to learn.
+        return txn.type.read() != Read.SESSION || txn.target == UNBOUND || stale.size() < 4 ? txn.arrived
+                : txn.target + Math.min(YOUNG, stale.quantile(0.5));
+    }
+
+    private List<Host> candidates(Txn txn, long now) {
+        List<Host> of = new ArrayList<>();
+        Group group = txn.group;
+        boolean toPrimary = txn.want == Txn.Want.PRIMARY;
+        if (toPrimary && group.primary != null && group.primary.state == Host.State.READY
+                && !group.primary.probeOut && !doubtful(group.primary, now)) {
+            return List.of(group.primary);
+        }
+        for (Host host : group.members) {
+            if (host.state == Host.State.READY && !host.probeOut && (toPrimary || host != group.primary)
+                    // One that has just spoken has told what it can, but for a position not there yet.
+                    && (host.saidAt < Math.max(now - YOUNG, toPrimary ? group.lostAt : UNBOUND)
+                    || !toPrimary && host.position < target(txn, now))) {
+                of.add(host);
+            }
+        }
+        // Shuffled, so that routers don't all ask the same one; then those furthest on in steps of a second,
+        // as members that lag little are as good as each other.
+        for (int i = of.size() - 1; i > 0; i--) {
+            java.util.Collections.swap(of, i, chance.nextInt(i + 1));
+        }
+        of.sort(Comparator.comparingLong(h -> h.lag / (1_000 * MS)));
+        return of;
+    }
+
+    /** How long a member is left alone after a probe: longer after failures, and while it must be behind. */
+    private long pace(Host host, Txn txn, long now) {
+        long failed = host.ends.since(host.lastHeard) - host.ends.sumSince(host.lastHeard);
+        long target = target(txn, now);
+        long lacks = txn.want == Txn.Want.PRIMARY || host.position == UNBOUND || target == UNBOUND ? 0
+                : (target - host.position) / 2;
+        return Math.max(Math.min(2_000 * MS, 100 * MS << Math.min(5, failed)), Math.min(1_000 * MS, lacks));
+    }
+
     /** Reports are refreshed every 50 to 250 ms, so asking more often than each 100 ms brings little. */
     private boolean probe(Host host, long every, List<Host> ask, long now) {
         if (host.probeSent != UNBOUND && now < host.probeSent + every) {
--- a/src/main/java/beaconladder/api/Router.java
+++ b/src/main/java/beaconladder/api/Router.java
@@ -36,10 +36,11 @@
      *
      * @param role     its role, or {@link Role#UNKNOWN}
      * @param position the log position it has applied, in nanoseconds on the routers' clock, or {@link #NONE}
+     * @param holds    how many txns of all routers it holds, or less than 0 when it did not say
      */
-    record Word(Role role, long position) {
+    record Word(Role role, long position, double holds) {
         public static final long NONE = Long.MIN_VALUE;
-        public static final Word SILENT = new Word(Role.UNKNOWN, NONE);
+        public static final Word SILENT = new Word(Role.UNKNOWN, NONE, -1);
     }
 
     /** The txn type at this place of the list handed over at start. */
--- a/src/main/java/beaconladder/fleet/Group.java
+++ b/src/main/java/beaconladder/fleet/Group.java
@@ -14,6 +14,8 @@
     public Host primary;
     /** The newest position at which a member said that it is the primary. */
     public long primaryAt = Long.MIN_VALUE;
+    /** When the primary was last found to be none. */
+    public long lostAt = Long.MIN_VALUE;
     /** The member that the roster last named as primary. */
     public Host namedByRoster;
     /** Txns that wait at this router. */
--- a/src/main/java/beaconladder/fleet/Host.java
+++ b/src/main/java/beaconladder/fleet/Host.java
@@ -28,6 +28,10 @@
     /** Whether it has answered this router, or a probe, since this router or it started. */
     public boolean met;
     public long lastHeard = Long.MIN_VALUE;
+    /** How many txns of all routers it last said that it held; less than 0 for never said. */
+    public double holds = -1;
+    /** When it last said something of itself, in an answer or to a probe. */
+    public long saidAt = -(1L << 60);
     public long probeSent = Long.MIN_VALUE;
     public boolean probeOut;
     /** When it last turned a txn away as full. */
--- a/src/main/java/beaconladder/fleet/Samples.java
+++ b/src/main/java/beaconladder/fleet/Samples.java
@@ -109,6 +109,19 @@
         return middle;
     }
 
+    /** The value to expect beside this figure, by a straight line through the samples that doesn't fall. */
+    public double expected(double with) {
+        double value = mean();
+        double middle = meanBeside(Long.MIN_VALUE);
+        double square = 0;
+        double product = 0;
+        for (int i = 0; i < size; i++) {
+            square += (beside[i] - middle) * (beside[i] - middle);
+            product += (beside[i] - middle) * (values[i] - value);
+        }
+        return square == 0 || product <= 0 ? value : value + (with - middle) * product / square;
+    }
+
     private double mean(long[] of, long since) {
         double sum = 0;
         int n = 0;
--- a/src/main/java/beaconladder/fleet/Submission.java
+++ b/src/main/java/beaconladder/fleet/Submission.java
@@ -8,6 +8,9 @@
     public final long sent;
     /** Submissions of this router that were out at the host once this one was. */
     public final int beside;
+    /** What the host last said that it held, and when that was. */
+    public final double holds;
+    public final long saidAt;
     public boolean ended;
     /** Whether its outcome proves that it never ran. */
     public boolean neverRan;
@@ -18,5 +21,7 @@
         this.host = host;
         this.sent = sent;
         this.beside = beside;
+        this.holds = host.holds;
+        this.saidAt = host.saidAt;
     }
 }
--- a/src/main/java/beaconladder/fleet/Txn.java
+++ b/src/main/java/beaconladder/fleet/Txn.java
@@ -5,6 +5,10 @@
 
 /** A client's txn in the hands of one router. */
 public final class Txn {
+
+    /** What a held txn may need to learn before it can go. */
+    public enum Want { NOTHING, MEMBER, PRIMARY }
+
     public final long id;
     public final TxnType type;
     public final Group group;
@@ -24,6 +28,11 @@
     public long target = Long.MIN_VALUE;
     /** When an answer stops being in time. */
     public long slaEnd;
+    /** What asking a member could bring to it while it is held. */
+    public Want want = Want.NOTHING;
+    /** Probes sent for its sake, and when the last one was. */
+    public int asked;
+    public long askedAt;
     public boolean known;
     public boolean ended;
     /** When it is to be looked at again. */
