Work of clients that left is called off, and their patience sets the admission

Change: a client that leaves has its submissions called off; where three in ten leave within ten seconds, the time they waited stands for the SLA time in the admission; where repeats are marked, unmarked txns are first tries, and where they aren't, budgets under the SLA time that are too frequent for repeats count as hurried clients.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -60,6 +60,8 @@
     private final Samples stale = new Samples(32);
     /** How the last first submissions ended: 0 for in time, 1 for not. */
     private final Samples faults = new Samples(32);
+    /** How long the last clients that left had waited, in thousandths of their SLA time. */
+    private final Samples patience = new Samples(16);
     /** How the last txns ended: 1 for a commit. */
     private final Samples fates = new Samples(32);
     private long probeLook = NEVER;
@@ -337,7 +339,9 @@
      * When the SLA time ends, counted from the client's first try. First tries of a type bring one and the
      * same budget; any other budget is what is left of the type's expiry, so the difference has already gone
      * by. Guards against serving repeats that can earn nothing while fresh txns wait; errs on the side of
-     * serving.
+     * serving. Where clients mark their repeats, what isn't marked is a first try; where they don't, budgets
+     * under the SLA time that are more frequent than repeats scatter are of clients that come with little
+     * time.
      */
     private long slaEnd(Txn txn) {
         long budget = txn.expiry - txn.arrived;
@@ -346,9 +350,26 @@
         // Eight samples tell a cluster from scatter; arrivals are read once a tick, so equal budgets spread
         // by one.
         long first = budgets.densest(8 * MS);
-        boolean firstTry = budgets.size() < 8 || Math.abs(budget - first) <= 8 * MS;
-        long gone = firstTry ? 0 : Math.max(0, txn.type.expiry() - budget);
-        return Math.min(txn.arrived + txn.type.sla() - gone, txn.expiry);
+        boolean marked = "true".equals(start.get("clients.marks_retry"));
+        boolean usual = budgets.size() < 8 || Math.abs(budget - first) <= 8 * MS;
+        long sla = txn.type.sla();
+        boolean hurried = budget < sla && budgets.between(0, sla) * (first - sla)
+                > 2 * budgets.between(sla, first - 8 * MS) * sla;
+        boolean firstTry = marked ? !txn.repeated : usual || hurried;
+        long gone = firstTry ? 0 : usual ? (long) (sla * patience.mean() / 1_000)
+                : Math.max(0, txn.type.expiry() - budget);
+        return Math.min(txn.arrived + sla - gone, txn.expiry);
+    }
+
+    /**
+     * The time within which an answer is of use: the SLA time, or, where many clients leave sooner, what they
+     * have lately waited.
+     */
+    private double aim(Txn txn, long now) {
+        long since = now - 10_000 * MS;
+        // A client now and then leaves on any day; three of ten in ten seconds are a habit.
+        return patience.since(since) >= Math.max(2, 0.3 * fates.since(since))
+                ? txn.type.sla() * Math.min(1, patience.mean(since) / 1_000) : txn.type.sla();
     }
 
     /**
@@ -413,7 +434,7 @@
         // them, it is one each while that makes no more than six, and three for any reads on one that lags.
         int routers = Integer.parseInt(start.getOrDefault("replicas_of_me", "1"));
         if (said(host, now) && host.times.since(since) < 4) {
-            return roomByReport(host, txn, left);
+            return roomByReport(host, txn, left, now);
         }
         boolean crowds = txn.type.read() == Read.ANY && host.lag > tightest;
         int few = host == host.group.primary ? 9 / routers : crowds ? 3 / routers : Math.min(1, 6 / routers);
@@ -429,7 +450,7 @@
         double beside = Math.max(1, recent ? host.times.meanBeside(since) : 1);
         // On a replica that lags by a bound, any reads hold back, so that its apply thread gets its part of
         // the cores.
-        double most = Math.min((crowds ? 0.2 : 0.3) * txn.type.sla(), 0.6 * left);
+        double most = Math.min((crowds ? 0.2 : 0.3) * aim(txn, now), 0.6 * left);
         if (recent && mean * (n + 1) / beside <= most
                 || mean <= most && (out == 0 || recent && n <= beside)) {
             return true;
@@ -448,11 +469,11 @@
      * tell: the time to expect at its load, by the last answers and the loads they met. Holding a txn back
      * saves no time, only work for nothing, so the time may be most of what is left.
      */
-    private boolean roomByReport(Host host, Txn txn, long left) {
+    private boolean roomByReport(Host host, Txn txn, long left, long now) {
         double load = load(host);
         // Two in hand wait for no core.
         return paces.size() < 8 || load < 2
-                || paces.expected(load) <= Math.min(0.5 * txn.type.sla(), 0.8 * left);
+                || paces.expected(load) <= Math.min(0.5 * aim(txn, now), 0.8 * left);
     }
 
     /**
@@ -768,8 +789,12 @@
     }
 
     @Override
-    public void left(Txn txn, long now) {
+    public Verdict left(Txn txn, long now) {
         drop(txn);
+        patience.add((now - txn.arrived) * 1_000 / txn.type.sla(), 0, now);
+        fates.add(0, 0, now);
+        // Work for a client that has gone keeps the next one waiting.
+        return Verdict.done(othersOut(txn));
     }
 
     // ---- The third question: how long to wait -------------------------------------------------------------
--- a/src/main/java/beaconladder/api/Router.java
+++ b/src/main/java/beaconladder/api/Router.java
@@ -67,6 +67,6 @@
     /** A probe came back. */
     void probed(Host host, Outcome outcome, Word report, long now);
 
-    /** The client of this txn has left. */
-    void left(Txn txn, long now);
+    /** The client of this txn has left: the verdict names what to call off. */
+    Verdict left(Txn txn, long now);
 }
--- a/src/main/java/beaconladder/drill/Instance.java
+++ b/src/main/java/beaconladder/drill/Instance.java
@@ -157,11 +157,7 @@
         Txn txn = txns.get(call);
         if (txn != null && !txn.ended) {
             guard(() -> {
-                txn.ended = true;
-                router.left(txn, clock * 1_000);
-                if (txn.out() == 0) {
-                    txns.remove(call);
-                }
+                act(txn, router.left(txn, clock * 1_000), clock * 1_000);
             });
         }
     }
--- a/src/main/java/beaconladder/fleet/Samples.java
+++ b/src/main/java/beaconladder/fleet/Samples.java
@@ -66,6 +66,17 @@
         return n;
     }
 
+    /** How many lie between these two, the lower one included. */
+    public int between(long from, long to) {
+        int n = 0;
+        for (int i = 0; i < size; i++) {
+            if (values[i] >= from && values[i] < to) {
+                n++;
+            }
+        }
+        return n;
+    }
+
     public double mean() {
         return mean(values, Long.MIN_VALUE);
     }
