A host's answer times stand against its report; slow hosts get one txn at a time over all routers

Told by outcomes (full, time-outs) at hosts whose reports said idle; honest hosts at the same load answered in 85 ms. Change: slowness, this router's own times of twenty seconds against the usual, weighs in the pick and voids admission by report; a slow host gets one txn at a time over all routers. Covers slow, ageing and hung hosts, stuck reports too. Harm: one heavy txn may set a host aside at a router that sends it little.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -169,8 +169,8 @@
         Host a = fit.get(i);
         Host b = fit.get(j >= i ? j + 1 : j);
         boolean said = said(a, now) && said(b, now);
-        double busyA = said ? load(a) : a.out.size();
-        double busyB = said ? load(b) : b.out.size();
+        double busyA = said ? (load(a) + 1) * slowness(a, now) : a.out.size();
+        double busyB = said ? (load(b) + 1) * slowness(b, now) : b.out.size();
         if (busyA == busyB) {
             // A tie of the design's pick goes to the nearer one, as crossing zones has its price.
             return b.zone == Integer.parseInt(start.getOrDefault("my_zone", "0")) ? b : a;
@@ -203,6 +203,25 @@
         return load;
     }
 
+    /**
+     * How much slower than the others this host has lately been to this router, drawn towards as fast by two
+     * samples. Guards against reports that are not true, idle or stuck while the host is slow: what it says
+     * loses against what it does. Covers slow, ageing and hung hosts too. Harm: a heavy txn or two count
+     * against a host for twenty seconds.
+     */
+    private double slowness(Host host, long now) {
+        long since = now - 20_000 * MS;
+        int n = host.times.since(since);
+        double base = paces.mean();
+        return n == 0 || paces.size() < 8 ? 1
+                : (host.times.mean(since) * n + 2 * base) / ((n + 2) * base);
+    }
+
+    /** A time-out, or as much, that nothing better stands against. */
+    private boolean slow(Host host, long now) {
+        return slowness(host, now) > 1.6;
+    }
+
     /** Whether the host spoke lately, or answers this router so often that its times tell as much. */
     private boolean informed(Host host, long now) {
         return now - host.saidAt <= YOUNG || host.times.since(now - 3_000 * MS) >= 4;
@@ -433,8 +452,15 @@
         // Nine over all routers keep a small primary busy; on a replica, which has to apply the log beside
         // them, it is one each while that makes no more than six, and three for any reads on one that lags.
         int routers = Integer.parseInt(start.getOrDefault("replicas_of_me", "1"));
-        if (said(host, now) && host.times.since(since) < 4) {
-            return roomByReport(host, txn, left, now);
+        if (host.times.since(since) < 4) {
+            if (slow(host, now)) {
+                // One at a time over all routers keeps it busy, lets a queue that starves it run off, and
+                // shows when it has recovered.
+                return host.out.isEmpty() && now - host.sentAt >= routers * paces.mean();
+            }
+            if (said(host, now)) {
+                return roomByReport(host, txn, left, now);
+            }
         }
         boolean crowds = txn.type.read() == Read.ANY && host.lag > tightest;
         int few = host == host.group.primary ? 9 / routers : crowds ? 3 / routers : Math.min(1, 6 / routers);
@@ -531,6 +557,7 @@
     private void noteSend(Host host, long now) {
         sendsSince(host, now - micros("rules.fall_us"));
         host.sends.addLast(now);
+        host.sentAt = now;
         host.tickets.pollFirst();
     }
 
@@ -656,6 +683,8 @@
                 }
             } else if (outcome == Outcome.FULL) {
                 host.fullAt = now;
+                // Its queue stands for a wait that no txn would bear.
+                host.times.add(s.txn.type.sla(), s.beside, now);
             }
         } else if (outcome == Outcome.TIMED_OUT || outcome == Outcome.RESET
                 || outcome == Outcome.UNREACHABLE) {
--- a/src/main/java/beaconladder/fleet/Host.java
+++ b/src/main/java/beaconladder/fleet/Host.java
@@ -49,6 +49,7 @@
     public final Samples ends = new Samples(16);
     /** When each of the sends that a cold host may still get was granted, oldest first. */
     public final ArrayDeque<Long> tickets = new ArrayDeque<>();
+    public long sentAt = -(1L << 60);
     /** Times of the sends within the window that the caller keeps. */
     public final ArrayDeque<Long> sends = new ArrayDeque<>();
 
