Hosts are set aside by the odds against hosts that also answer; no samples start from the SLA time

Told apart by hosts that answer as well: where they fail often too, the loss is on the way. Change: a host's chance of an answer in time is a posterior against the failure rate of hosts that also answer, and weighs in the pick; under 0.4 the host is set aside. Without samples a report is judged from the SLA time. Time-outs at hosts twice as crowded as usual count as times.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -62,6 +62,8 @@
     private final Samples faults = new Samples(32);
     /** How long the last clients that left had waited, in thousandths of their SLA time. */
     private final Samples patience = new Samples(16);
+    /** How the last submissions ended at hosts that had lately answered: 1 for no good answer. */
+    private final Samples mixed = new Samples(48);
     /** How the last txns ended: 1 for a commit. */
     private final Samples fates = new Samples(32);
     private long probeLook = NEVER;
@@ -169,8 +171,8 @@
         Host a = fit.get(i);
         Host b = fit.get(j >= i ? j + 1 : j);
         boolean said = said(a, now) && said(b, now);
-        double busyA = said ? (load(a) + 1) * slowness(a, now) : a.out.size();
-        double busyB = said ? (load(b) + 1) * slowness(b, now) : b.out.size();
+        double busyA = said ? (load(a) + 1) / success(a, now) : a.out.size();
+        double busyB = said ? (load(b) + 1) / success(b, now) : b.out.size();
         if (busyA == busyB) {
             // A tie of the design's pick goes to the nearer one, as crossing zones has its price.
             return b.zone == Integer.parseInt(start.getOrDefault("my_zone", "0")) ? b : a;
@@ -204,22 +206,25 @@
     }
 
     /**
-     * How much slower than the others this host has lately been to this router, drawn towards as fast by two
-     * samples. Guards against reports that are not true, idle or stuck while the host is slow: what it says
-     * loses against what it does. Covers slow, ageing and hung hosts too. Harm: a heavy txn or two count
-     * against a host for twenty seconds.
+     * The chance that this host answers this router in time, by how its submissions of the last twenty
+     * seconds ended: it is well and fails as rarely as hosts do that also answer, or, one in five, it is not
+     * and fails nine times in ten. Guards against reports that are not true, idle or stuck while the host is
+     * slow: what it says loses against what it does. Covers slow, ageing and hung hosts too; where answers
+     * are lost all over, hosts that answer fail often as well, and none is set aside for it. Harm: a heavy
+     * txn alone at a host counts against it.
      */
-    private double slowness(Host host, long now) {
+    private double success(Host host, long now) {
         long since = now - 20_000 * MS;
-        int n = host.times.since(since);
-        double base = paces.mean();
-        return n == 0 || paces.size() < 8 ? 1
-                : (host.times.mean(since) * n + 2 * base) / ((n + 2) * base);
+        int good = (int) host.marks.sumSince(since);
+        int bad = host.marks.since(since) - good;
+        double rarely = (1 + mixed.sumSince(since)) / (10.0 + mixed.since(since));
+        double ill = 0.2 * Math.pow(0.9, bad) * Math.pow(0.1, good);
+        double well = 0.8 * Math.pow(rarely, bad) * Math.pow(1 - rarely, good);
+        return (0.1 * ill + (1 - rarely) * well) / (ill + well);
     }
 
-    /** A time-out, or as much, that nothing better stands against. */
     private boolean slow(Host host, long now) {
-        return slowness(host, now) > 1.6;
+        return success(host, now) < 0.4;
     }
 
     /** Whether the host spoke lately, or answers this router so often that its times tell as much. */
@@ -498,8 +503,14 @@
     private boolean roomByReport(Host host, Txn txn, long left, long now) {
         double load = load(host);
         // Two in hand wait for no core.
-        return paces.size() < 8 || load < 2
-                || paces.expected(load) <= Math.min(0.5 * aim(txn, now), 0.8 * left);
+        if (load < 2) {
+            return true;
+        }
+        // With no samples of its own a router starts from the SLA time: work takes a fifth of it, and a small
+        // host does three at a time.
+        double expected = paces.size() < 8 ? 0.2 * txn.type.sla() * Math.max(1, (load + 1) / 3)
+                : paces.expected(load);
+        return expected <= Math.min(0.5 * aim(txn, now), 0.8 * left);
     }
 
     /**
@@ -678,13 +689,9 @@
             if (outcome == Outcome.COMMITTED) {
                 host.times.add(now - s.sent, s.beside, now);
                 host.group.times.add(now - s.sent, s.beside, now);
-                if (s.holds >= 0 && s.sent - s.saidAt <= YOUNG) {
-                    paces.add(now - s.sent, Math.round(s.holds), now);
-                }
+                pace(s, now);
             } else if (outcome == Outcome.FULL) {
                 host.fullAt = now;
-                // Its queue stands for a wait that no txn would bear.
-                host.times.add(s.txn.type.sla(), s.beside, now);
             }
         } else if (outcome == Outcome.TIMED_OUT || outcome == Outcome.RESET
                 || outcome == Outcome.UNREACHABLE) {
@@ -696,11 +703,23 @@
             }
             if (outcome == Outcome.TIMED_OUT) {
                 host.times.add(now - s.sent, s.beside, now);
+                // At a host far more crowded than usual a time-out tells of the crowd; elsewhere of the host.
+                if (s.holds > 2 * paces.meanBeside(UNBOUND) + 2) {
+                    pace(s, now);
+                }
             }
         }
         if (outcome == Outcome.TIMED_OUT || outcome == Outcome.CANCELLED) {
             host.abandoned.add(s);
         }
+        if (outcome != Outcome.CANCELLED && outcome != Outcome.MOOT) {
+            int well = outcome == Outcome.COMMITTED && now - s.sent <= s.txn.type.sla()
+                    || outcome == Outcome.MISS || outcome == Outcome.ERROR ? 1 : 0;
+            if (host.marks.sumSince(now - 20_000 * MS) > 0) {
+                mixed.add(1 - well, 0, now);
+            }
+            host.marks.add(well, 0, now);
+        }
         hear(host, answer, true, now);
         hear(host, report, false, now);
         Txn txn = s.txn;
@@ -725,6 +744,12 @@
         return place(txn, now);
     }
 
+    private void pace(Submission s, long now) {
+        if (s.holds >= 0 && s.sent - s.saidAt <= YOUNG) {
+            paces.add(now - s.sent, Math.round(s.holds), now);
+        }
+    }
+
     /** Copies that are out when the answer is there are called off. */
     private List<Submission> othersOut(Txn txn) {
         List<Submission> others = new ArrayList<>();
--- a/src/main/java/beaconladder/fleet/Host.java
+++ b/src/main/java/beaconladder/fleet/Host.java
@@ -50,6 +50,8 @@
     /** When each of the sends that a cold host may still get was granted, oldest first. */
     public final ArrayDeque<Long> tickets = new ArrayDeque<>();
     public long sentAt = -(1L << 60);
+    /** How the last submissions ended: 1 for an answer, 0 for none or a full queue. */
+    public final Samples marks = new Samples(16);
     /** Times of the sends within the window that the caller keeps. */
     public final ArrayDeque<Long> sends = new ArrayDeque<>();
 
