Held txns are given up when half of the answers would come too late

Change: a txn that is not out is declined once half of the group's answers would miss its end; the end is the expiry only where a late answer earns over a quarter. Harm: slow txns that would have made it.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -217,6 +217,9 @@
         long since = now - 20_000 * MS;
         int good = (int) host.marks.sumSince(since);
         int bad = host.marks.since(since) - good;
+        for (Submission s : host.out) {
+            bad += now - s.sent > s.txn.type.sla() ? 1 : 0;
+        }
         double rarely = (1 + mixed.sumSince(since)) / (10.0 + mixed.since(since));
         double ill = 0.2 * Math.pow(0.9, bad) * Math.pow(0.1, good);
         double well = 0.8 * Math.pow(rarely, bad) * Math.pow(1 - rarely, good);
@@ -407,10 +410,14 @@
         return Math.min(txn.expiry - txn.type.sla(), txn.slaEnd - answer);
     }
 
-    /** From here on a txn that is not out can earn nothing more; two ticks remain to answer it. */
+    /**
+     * From here on a txn that is not out is not worth its work: half of the answers would come too late. A late
+     * answer that earns a quarter or less is no reason to send, since a fresh txn earns more by the same work.
+     * Two ticks remain to answer it. Guards against overload fed by work for nothing.
+     */
     private long lastUse(Txn txn) {
-        long end = txn.type.late() > 0 ? txn.expiry : txn.slaEnd;
-        return Math.min(end - txn.group.times.quantile(0.2), txn.expiry - 2 * Long.parseLong(
+        long end = txn.type.late() > 0.25 ? txn.expiry : txn.slaEnd;
+        return Math.min(end - txn.group.times.quantile(0.5), txn.expiry - 2 * Long.parseLong(
                 start.getOrDefault("round_us", "5000")) * 1_000);
     }
 
