--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -411,13 +411,13 @@
     }
 
     /**
-     * From here on a txn that is not out is not worth its work: half of the answers would come too late. A late
+     * From here on a txn that is not out is not worth its work: three in five answers would come too late. A late
      * answer that earns a quarter or less is no reason to send, since a fresh txn earns more by the same work.
      * Two ticks remain to answer it. Guards against overload fed by work for nothing.
      */
     private long lastUse(Txn txn) {
         long end = txn.type.late() > 0.25 ? txn.expiry : txn.slaEnd;
-        return Math.min(end - txn.group.times.quantile(0.5), txn.expiry - 2 * Long.parseLong(
+        return Math.min(end - txn.group.times.quantile(0.4), txn.expiry - 2 * Long.parseLong(
                 start.getOrDefault("round_us", "5000")) * 1_000);
     }
 
