Both answers of an ask are awaited; one posterior for doubt; tests of the new rules

Cause: a read that asked two members went with the first that answered, the nearest, whatever it held; found by the test that asks b and c. Sends are no longer kept as a list, the draw for a doubtful host is from the same posterior.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -96,7 +96,8 @@
         drop(txn);
         Verdict verdict = decide(txn, now);
         if (verdict.step() == Verdict.Step.SEND) {
-            noteSend(verdict.host(), now);
+            verdict.host().sentAt = now;
+            verdict.host().tickets.pollFirst();
             schedule(txn, now + usual(verdict.host()));
         }
         return verdict;
@@ -156,7 +157,7 @@
             } else if (worthAsking(txn, now)) {
                 List<Host> young = new ArrayList<>(fit);
                 young.removeIf(host -> !informed(host, now));
-                if (young.size() < 2 && (young.isEmpty() || txn.asked < 2) && answerDue(txn, now)) {
+                if (young.size() < 2 && answerDue(txn, txn.asked < 2 || young.isEmpty(), now)) {
                     txn.want = Txn.Want.MEMBER;
                     return null;
                 }
@@ -180,11 +181,11 @@
         return busyB < busyA ? b : a;
     }
 
-    /** Whether a member that could still be asked is there, or an answer that is worth the wait under way. */
-    private boolean answerDue(Txn txn, long now) {
+    /** Whether an answer to a probe is under way, or, if more may be asked, a member is there to ask. */
+    private boolean answerDue(Txn txn, boolean more, long now) {
         for (Host host : txn.group.members) {
             if (host.state == Host.State.READY && host != txn.group.primary && !informed(host, now)
-                    && (host.probeOut ? !mute(host, now) : now >= host.probeSent + YOUNG / 3)) {
+                    && (host.probeOut ? !mute(host, now) : more && now >= host.probeSent + YOUNG / 3)) {
                 return true;
             }
         }
@@ -411,9 +412,9 @@
     }
 
     /**
-     * From here on a txn that is not out is not worth its work: three in five answers would come too late. A late
-     * answer that earns a quarter or less is no reason to send, since a fresh txn earns more by the same work.
-     * Two ticks remain to answer it. Guards against overload fed by work for nothing.
+     * From here on a txn that is not out is not worth its work: three in five answers would come too late. A
+     * late answer that earns a quarter or less is no reason to send, since a fresh txn earns more by the
+     * same work. Two ticks remain to answer it. Guards against overload fed by work for nothing.
      */
     private long lastUse(Txn txn) {
         long end = txn.type.late() > 0.25 ? txn.expiry : txn.slaEnd;
@@ -461,8 +462,7 @@
         // Older times tell of a load that may be gone: a host that was slow and is sent little would look
         // slow for ever.
         long since = now - 3_000 * MS;
-        // Nine over all routers keep a small primary busy; on a replica, which has to apply the log beside
-        // them, it is one each while that makes no more than six, and three for any reads on one that lags.
+        // Nine over all routers keep a small primary busy, three a replica, which has to apply the log too.
         int routers = Integer.parseInt(start.getOrDefault("replicas_of_me", "1"));
         if (host.times.since(since) < 4) {
             if (slow(host, now)) {
@@ -475,7 +475,7 @@
             }
         }
         boolean crowds = txn.type.read() == Read.ANY && host.lag > tightest;
-        int few = host == host.group.primary ? 9 / routers : crowds ? 3 / routers : Math.min(1, 6 / routers);
+        int few = (host == host.group.primary ? 9 : 3) / routers;
         int out = host.out.size();
         if (host.times.size() < 4) {
             return out < Math.max(1, 6 / routers);
@@ -498,8 +498,7 @@
         // distance. Abandoned work doesn't count here: only answers to later sends can tell that it is done
         // with.
         return out < few && (!recent || host.times.quantile(0.5) <= left)
-                || out == 0 && (host.sends.isEmpty()
-                || now - host.sends.peekLast() >= mean * mean / (0.3 * txn.type.sla()));
+                || out == 0 && now - host.sentAt >= mean * mean / (0.3 * txn.type.sla());
     }
 
     /**
@@ -565,20 +564,6 @@
         return !host.tickets.isEmpty();
     }
 
-    private int sendsSince(Host host, long time) {
-        while (!host.sends.isEmpty() && host.sends.peekFirst() < time) {
-            host.sends.removeFirst();
-        }
-        return host.sends.size();
-    }
-
-    private void noteSend(Host host, long now) {
-        sendsSince(host, now - micros("rules.fall_us"));
-        host.sends.addLast(now);
-        host.sentAt = now;
-        host.tickets.pollFirst();
-    }
-
     private long micros(String name) {
         return Long.parseLong(start.getOrDefault(name, "0")) * 1_000;
     }
@@ -617,19 +602,7 @@
             return false;
         }
         host.drawn = now;
-        int good = (int) host.ends.sumSince(now - 5_000 * MS);
-        int bad = host.ends.since(now - 5_000 * MS) - good;
-        return chance.nextDouble() < beta(1 + good, 1 + bad);
-    }
-
-    /** A draw from Beta(a, b) for whole a and b: the a-th smallest of a + b - 1 uniform draws. */
-    private double beta(int a, int b) {
-        double[] draws = new double[a + b - 1];
-        for (int i = 0; i < draws.length; i++) {
-            draws[i] = chance.nextDouble();
-        }
-        java.util.Arrays.sort(draws);
-        return draws[a - 1];
+        return chance.nextDouble() < success(host, now);
     }
 
     /** Further submissions go by value: one for the least, four for the most. */
--- a/src/main/java/beaconladder/fleet/Host.java
+++ b/src/main/java/beaconladder/fleet/Host.java
@@ -52,8 +52,6 @@
     public long sentAt = -(1L << 60);
     /** How the last submissions ended: 1 for an answer, 0 for none or a full queue. */
     public final Samples marks = new Samples(16);
-    /** Times of the sends within the window that the caller keeps. */
-    public final ArrayDeque<Long> sends = new ArrayDeque<>();
 
     public Host(int id, Group group, int zone) {
         this.id = id;
--- a/src/test/java/beaconladder/LogicTest.java
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -303,4 +303,80 @@
                 0   decline 8, back in 500
                 """);
     }
+
+    @Test
+    void whatAClientThatLeftIsOutForIsCalledOff() {
+        Script s = Script.warm().ask(1, ANY, 0, 2000).tick(300).left(1);
+        assertThat(s.trace()).isEqualTo("""
+                0 ask 1 any
+                0   send 1 to c
+                300 left 1
+                300   cancel 1@c
+                300   done 1
+                """);
+    }
+
+    @Test
+    void aRouterWithoutATxnAsksNobody() {
+        Script s = new Script().list("a*", "b", "c").tick(5000);
+        assertThat(s.trace()).isEqualTo("");
+    }
+
+    @Test
+    void whereProbesAreCheapMembersAreAskedBeforeTheSendAndTheLessLoadedIsTaken() {
+        Script s = Script.warm("fees.probe=0.01").tick(1000).ask(1, ANY, 0, 2000).tick(1005)
+                .probed("b", Role.REPLICA, 990, 6).probed("c", Role.REPLICA, 990, 1);
+        assertThat(s.trace()).isEqualTo("""
+                1000 ask 1 any
+                1000 probe c
+                1000 probe b
+                1005   send 1 to c
+                """);
+    }
+
+    @Test
+    void aMemberThatDoesNotAnswerItsProbeIsPassedOver() {
+        Script s = Script.warm("fees.probe=0.01").tick(1000).ask(1, ANY, 0, 2000).tick(1005)
+                .probed("b", Role.REPLICA, 990, 6).tick(1100);
+        assertThat(s.trace()).isEqualTo("""
+                1000 ask 1 any
+                1000 probe c
+                1000 probe b
+                1045   send 1 to b
+                """);
+    }
+
+    @Test
+    void aHostThatSaysItIsIdleAndAnswersNothingLosesAgainstItsTimes() {
+        Script s = Script.warm("fees.probe=0.01");
+        for (int i = 0; i < 8; i++) {
+            s.tick(1000 + 400 * i).probed("b", Role.REPLICA, 990 + 400 * i, 0)
+                    .probed("c", Role.REPLICA, 990 + 400 * i, 4).ask(i, ANY, 0, 2000).tick(1150 + 400 * i);
+            s.silent("b", i);
+        }
+        assertThat(s.trace().replaceAll("(?m)^(?!.*send).*\\n", "")).isEqualTo("""
+                1000   send 0 to b
+                1150   send 0 to c
+                1400   send 1 to c
+                1800   send 2 to c
+                2200   send 3 to b
+                2350   send 3 to c
+                2600   send 4 to c
+                3000   send 5 to c
+                3400   send 6 to c
+                3800   send 7 to c
+                """);
+    }
+
+    @Test
+    void budgetsUnderTheSlaTimeThatAreCommonAreOfHurriedClients() {
+        Script s = Script.warm();
+        for (int i = 0; i < 12; i++) {
+            s.ask(i, ANY, 0, i % 2 == 0 ? 1500 : 300 + 20 * i).end(i, Outcome.COMMITTED, Role.REPLICA, 0);
+        }
+        assertThat(s.quiet().ask(12, ANY, 0, 400).trace()).isEqualTo("""
+                0 ask 12 any
+                0   send 12 to c
+                """);
+    }
 }
--- a/src/test/java/beaconladder/Script.java
+++ b/src/test/java/beaconladder/Script.java
@@ -103,28 +103,57 @@
 
     /** The newest submission of this txn ends; a position in milliseconds goes with an answer. */
     Script end(int id, Outcome outcome, Role role, long positionMillis) {
-        Txn txn = txns.get(id);
         Submission s = null;
-        for (Submission each : txn.submissions) {
+        for (Submission each : txns.get(id).submissions) {
             s = each.ended ? s : each;
         }
-        say("end " + id + "@" + (char) s.host.id + " " + outcome.name().toLowerCase(java.util.Locale.ROOT));
+        return end(s, outcome, role, positionMillis);
+    }
+
+    private Script end(Submission s, Outcome outcome, Role role, long positionMillis) {
+        say("end " + s.txn.id + "@" + (char) s.host.id + " "
+                + outcome.name().toLowerCase(java.util.Locale.ROOT));
         Word word = role == Role.UNKNOWN ? Word.SILENT : new Word(role, ZERO + positionMillis * MS, -1);
-        act(txn, logic.after(s, outcome, outcome == Outcome.COMMITTED, word, Word.SILENT, now));
+        act(s.txn, logic.after(s, outcome, outcome == Outcome.COMMITTED, word, Word.SILENT, now));
         settle();
         return this;
     }
 
+    /** Of this txn's submissions, those out at the named host time out and those elsewhere are committed. */
+    Script silent(String name, int id) {
+        for (Submission s : java.util.List.copyOf(txns.get(id).submissions)) {
+            if (!s.ended) {
+                boolean lost = s.host == hosts.get(name);
+                end(s, lost ? Outcome.TIMED_OUT : Outcome.COMMITTED, lost ? Role.UNKNOWN : Role.REPLICA,
+                        (now - ZERO) / MS);
+            }
+        }
+        return this;
+    }
+
     Script end(int id, Outcome outcome) {
         return end(id, outcome, Role.UNKNOWN, 0);
     }
 
     Script probed(String name, Role role, long positionMillis) {
-        logic.probed(hosts.get(name), Outcome.COMMITTED, new Word(role, ZERO + positionMillis * MS, -1), now);
+        return probed(name, role, positionMillis, -1);
+    }
+
+    Script probed(String name, Role role, long positionMillis, double holds) {
+        hosts.get(name).probeOut = true;
+        logic.probed(hosts.get(name), Outcome.COMMITTED, new Word(role, ZERO + positionMillis * MS, holds),
+                now);
         settle();
         return this;
     }
 
+    /** The client of this txn leaves. */
+    Script left(int id) {
+        say("left " + id);
+        act(txns.get(id), logic.left(txns.get(id), now));
+        return this;
+    }
+
     /** Forgets the trace so far. */
     Script quiet() {
         trace.setLength(0);
