Connections that a router hardly uses are closed after use

Change: after a submission ends, a connection to a host that answered this router under three times in ten seconds is closed. Covers full tables and the capacity they take. Harm: a handshake for most submissions of small routers.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -66,6 +66,8 @@
     private final Samples mixed = new Samples(48);
     /** How the last txns ended: 1 for a commit. */
     private final Samples fates = new Samples(32);
+    /** Hosts with connections that this router will hardly use again soon. */
+    private final Set<Host> idle = new LinkedHashSet<>();
     private long probeLook = NEVER;
 
     public Logic(long seed, Map<String, String> start) {
@@ -660,6 +662,9 @@
         s.neverRan = outcome.provesNotRun();
         host.out.remove(s);
         host.group.changed = true;
+        if (host.out.isEmpty() && host.times.since(now - 10_000 * MS) < 3) {
+            idle.add(host);
+        }
         if (outcome.fromHost()) {
             host.met = true;
             host.lastHeard = now;
@@ -856,7 +861,10 @@
                 .thenComparingLong(t -> t.number));
         List<Host> probes = probes(now);
         long until = agenda.isEmpty() ? NEVER : agenda.first().look;
-        return new Pause(Math.min(until, probeLook), probes, order);
+        List<Host> close = new ArrayList<>(idle);
+        idle.clear();
+        close.removeIf(host -> !host.out.isEmpty());
+        return new Pause(Math.min(until, probeLook), probes, order, close);
     }
 
     /**
--- a/src/main/java/beaconladder/api/Pause.java
+++ b/src/main/java/beaconladder/api/Pause.java
@@ -9,8 +9,9 @@
  *
  * @param until the time of the next look, or {@link #OPEN} when nothing is due by itself
  * @param probe the members to probe now
+ * @param close the members whose idle connections to close now
  * @param again the txns to ask about again now, in this order; afterwards ask for a new pause
  */
-public record Pause(long until, List<Host> probe, List<Txn> again) {
+public record Pause(long until, List<Host> probe, List<Txn> again, List<Host> close) {
     public static final long OPEN = Long.MAX_VALUE;
 }
--- a/src/main/java/beaconladder/drill/Instance.java
+++ b/src/main/java/beaconladder/drill/Instance.java
@@ -180,6 +180,9 @@
                 for (Host host : pause.probe()) {
                     reply.healthCheck(host.id);
                 }
+                for (Host host : pause.close()) {
+                    reply.hangUp(host.id);
+                }
                 if (pause.again().isEmpty()) {
                     break;
                 }
--- a/src/main/java/beaconladder/drill/Reply.java
+++ b/src/main/java/beaconladder/drill/Reply.java
@@ -44,6 +44,10 @@
         record(1050, 4).putInt(host);
     }
 
+    void hangUp(int host) {
+        record(1060, 4).putInt(host);
+    }
+
     void bailOut(String message) {
         byte[] text = message.getBytes(StandardCharsets.UTF_8);
         int n = Math.min(text.length, 0xffff);
