Any reads go to members far behind and hold back at those near the bound

Change: of two drawn an any read goes to the one over two bounds behind; at a replica within half to two bounds any reads get two thirds of the room. It replaces the hold-back at all lagging replicas.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -173,6 +173,11 @@
         int j = chance.nextInt(fit.size() - 1);
         Host a = fit.get(i);
         Host b = fit.get(j >= i ? j + 1 : j);
+        // A member too far behind for bounded reads is of use for any reads alone, and those leave the others
+        // to the reads that need them, and to catching up.
+        if (txn.type.read() == Read.ANY && farBehind(a) != farBehind(b)) {
+            return farBehind(a) ? a : b;
+        }
         boolean said = said(a, now) && said(b, now);
         double busyA = said ? (load(a) + 1) / success(a, now) : a.out.size();
         double busyB = said ? (load(b) + 1) / success(b, now) : b.out.size();
@@ -183,6 +188,10 @@
         return busyB < busyA ? b : a;
     }
 
+    private boolean farBehind(Host host) {
+        return host.lag > 2 * tightest;
+    }
+
     /** Whether an answer to a probe is under way, or, if more may be asked, a member is there to ask. */
     private boolean answerDue(Txn txn, boolean more, long now) {
         for (Host host : txn.group.members) {
@@ -466,6 +475,7 @@
         long since = now - 3_000 * MS;
         // Nine over all routers keep a small primary busy, three a replica, which has to apply the log too.
         int routers = Integer.parseInt(start.getOrDefault("replicas_of_me", "1"));
+        boolean crowds = txn.type.read() == Read.ANY && host.lag > tightest / 2 && !farBehind(host);
         if (host.times.since(since) < 4) {
             if (slow(host, now)) {
                 // One at a time over all routers keeps it busy, lets a queue that starves it run off, and
@@ -473,10 +483,9 @@
                 return host.out.isEmpty() && now - host.sentAt >= routers * paces.mean();
             }
             if (said(host, now)) {
-                return roomByReport(host, txn, left, now);
+                return roomByReport(host, txn, crowds, left, now);
             }
         }
-        boolean crowds = txn.type.read() == Read.ANY && host.lag > tightest;
         int few = (host == host.group.primary ? 9 : 3) / routers;
         int out = host.out.size();
         if (host.times.size() < 4) {
@@ -488,8 +497,8 @@
         boolean recent = host.times.since(since) >= 4;
         double mean = recent ? host.times.mean(since) : host.times.mean();
         double beside = Math.max(1, recent ? host.times.meanBeside(since) : 1);
-        // On a replica that lags by a bound, any reads hold back, so that its apply thread gets its part of
-        // the cores.
+        // On a replica near the bound any reads hold back, so that its apply thread gets its part of the
+        // cores and it stays of use to bounded reads.
         double most = Math.min((crowds ? 0.2 : 0.3) * aim(txn, now), 0.6 * left);
         if (recent && mean * (n + 1) / beside <= most
                 || mean <= most && (out == 0 || recent && n <= beside)) {
@@ -508,7 +517,7 @@
      * tell: the time to expect at its load, by the last answers and the loads they met. Holding a txn back
      * saves no time, only work for nothing, so the time may be most of what is left.
      */
-    private boolean roomByReport(Host host, Txn txn, long left, long now) {
+    private boolean roomByReport(Host host, Txn txn, boolean crowds, long left, long now) {
         double load = load(host);
         // Two in hand wait for no core.
         if (load < 2) {
@@ -518,7 +527,7 @@
         // host does three at a time.
         double expected = paces.size() < 8 ? 0.2 * txn.type.sla() * Math.max(1, (load + 1) / 3)
                 : paces.expected(load);
-        return expected <= Math.min(0.5 * aim(txn, now), 0.8 * left);
+        return expected <= Math.min((crowds ? 0.25 : 0.5) * aim(txn, now), 0.8 * left);
     }
 
     /**
@@ -756,7 +765,7 @@
             host.saidAt = now;
             host.holds = word.holds() >= 0 ? word.holds() : host.holds;
         }
-        if (direct && word.position() != Word.NONE) {
+        if (word.position() != Word.NONE && (direct || word.position() > host.position)) {
             host.lag = now - word.position();
         }
         if (word.position() > host.position) {
