--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -58,8 +58,6 @@
     private final Samples paces = new Samples(48);
     /** How old the positions of replicas were when they last came with a probe. */
     private final Samples stale = new Samples(32);
-    /** How the last first submissions ended: 0 for in time, 1 for not. */
-    private final Samples faults = new Samples(32);
     /** How long the last clients that left had waited, in thousandths of their SLA time. */
     private final Samples patience = new Samples(16);
     /** How the last submissions ended at hosts that had lately answered: 1 for no good answer. */
@@ -156,7 +154,7 @@
         if (mayAsk(txn)) {
             if (fit.isEmpty()) {
                 txn.want = Txn.Want.MEMBER;
-            } else if (worthAsking(txn, now)) {
+            } else if (worthAsking()) {
                 List<Host> young = new ArrayList<>(fit);
                 young.removeIf(host -> !informed(host, now));
                 if (young.size() < 2 && answerDue(txn, txn.asked < 2 || young.isEmpty(), now)) {
@@ -275,16 +273,13 @@
     }
 
     /**
-     * Whether to ask before a send to members that were not heard of lately. Where two probes cost under
-     * three points in a hundred it is always done; where they are dearer, once the first submissions that
-     * went wrong of late, half of which asking should save, cost more than it does. Covers whatever shows in
+     * Whether to ask before a send to members that were not heard of lately: where two probes cost under
+     * three points in a hundred, as knowing the load brings more than that by far. Covers whatever shows in
      * a probe: dead and unreachable members, queues, changed roles. Harm: the price and some milliseconds,
      * where nothing is wrong.
      */
-    private boolean worthAsking(Txn txn, long now) {
-        double price = fee("probe") * meanValue();
-        double wrong = faults.sumSince(now - 20_000 * MS) / (faults.since(now - 20_000 * MS) + 4.0);
-        return 2 * fee("probe") <= 0.03 || 0.5 * wrong * txn.type.value() > price;
+    private boolean worthAsking() {
+        return 2 * fee("probe") <= 0.03;
     }
 
     private Host primaryFor(Txn txn, long now) {
@@ -294,7 +289,7 @@
             txn.want = mayAsk(txn) ? Txn.Want.PRIMARY : Txn.Want.NOTHING;
             return null;
         }
-        if (!informed(primary, now) && mayAsk(txn) && worthAsking(txn, now)) {
+        if (!informed(primary, now) && mayAsk(txn) && worthAsking()) {
             txn.want = Txn.Want.PRIMARY;
             return null;
         }
@@ -717,9 +712,6 @@
         hear(host, answer, true, now);
         hear(host, report, false, now);
         Txn txn = s.txn;
-        if (s.number == 0 && outcome != Outcome.CANCELLED) {
-            faults.add(outcome == Outcome.COMMITTED && now <= txn.slaEnd ? 0 : 1, 0, now);
-        }
         if (outcome == Outcome.MISS && txn.type.read() == Read.WRITE && host.group.primary == host) {
             lose(host.group, now);
         }
@@ -949,10 +941,10 @@
         return ask;
     }
 
-    /** When this txn may ask again: its first two probes at once, the rest spread over its time. */
+    /** When this txn may ask again: its first two probes at once, the rest an SLA time for all. */
     private long askFrom(Txn txn) {
         if (txn.asked >= 2) {
-            return txn.askedAt + (txn.expiry - txn.arrived) / budget(txn);
+            return txn.askedAt + txn.type.sla() / budget(txn);
         }
         // Before a healthy replica's report can show the session's write there is nothing to learn.
         return txn.type.read() != Read.SESSION || txn.target == UNBOUND || stale.size() < 4 ? txn.arrived
