--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -249,7 +249,7 @@
         return host.probeOut && now - host.probeSent > MUTE;
     }
 
-    /** A held txn pays for as many probes as a seventh of its value buys, two at the least. */
+    /** A held txn pays for as many probes as a seventh of its value buys, one at the least. */
     private boolean mayAsk(Txn txn) {
         return txn.out() == 0 && txn.asked < budget(txn) && probesAllowed();
     }
@@ -260,7 +260,7 @@
     }
 
     private int budget(Txn txn) {
-        return (int) Math.max(2, Math.min(1_000, 0.15 * txn.type.value() / (fee("probe") * meanValue())));
+        return (int) Math.max(1, Math.min(1_000, 0.15 * txn.type.value() / (fee("probe") * meanValue())));
     }
 
     /** The mean value of the txns that come here, in which prices are reckoned. */
