--- a/src/main/java/beaconladder/drill/Instance.java
+++ b/src/main/java/beaconladder/drill/Instance.java
@@ -240,7 +240,7 @@
     }
 
     /** A report; a field that is missing or can't be true (not a number, negative) counts as not reported. */
-    private Word word(float[] pressure) {
+    Word word(float[] pressure) {
         float position = field(pressure, positionField);
         float primary = field(pressure, primaryField);
         // One step down, since the nearest float may lie above the true position.
--- a/src/test/java/beaconladder/LogicTest.java
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -379,4 +379,50 @@
                 0   send 12 to c
                 """);
     }
+
+    @Test
+    void aConnectionThatIsHardlyUsedIsClosedAfterUse() {
+        Script s = Script.warm().showClosing();
+        for (int i = 0; i < 4; i++) {
+            s.tick(10 + i).ask(i, WRITE, 0, 2000).end(i, Outcome.COMMITTED, Role.PRIMARY, 10 + i);
+        }
+        assertThat(s.trace().replaceAll("(?m)^(?!.*(close|send)).*\\n", "")).isEqualTo("""
+                10   send 0 to a
+                10 close a
+                11   send 1 to a
+                11 close a
+                12   send 2 to a
+                12 close a
+                13   send 3 to a
+                """);
+    }
+
+    @Test
+    void ofTwoDrawnAnAnyReadGoesToTheOneTooFarBehindForOthers() {
+        Script s = Script.warm().tick(3000).probed("c", Role.REPLICA, 100).probed("b", Role.REPLICA, 2990)
+                .quiet();
+        for (int i = 0; i < 4; i++) {
+            s.ask(i, ANY, 0, 2000);
+        }
+        assertThat(s.trace().replaceAll("(?m)^(?!.*send).*\\n", "")).isEqualTo("""
+                3000   send 0 to c
+                3000   send 1 to c
+                3000   send 2 to c
+                3000   send 3 to c
+                """);
+    }
+
+    @Test
+    void aHeldTxnIsGivenUpWhenMostAnswersWouldComeTooLate() {
+        Script s = Script.warm();
+        for (int i = 0; i < 8; i++) {
+            s.tick(200 * i).ask(i, ANY, 0, 2000).tick(200 * i + 190).end(i, Outcome.COMMITTED);
+        }
+        s.list("a", true, Host.State.DRAINING, 0).list("b", false, Host.State.DRAINING, 0)
+                .list("c", false, Host.State.DRAINING, 0).quiet();
+        assertThat(s.ask(9, ANY, 0, 2000).tick(3000).trace()).isEqualTo("""
+                1590 ask 9 any
+                2200   decline 9
+                """);
+    }
 }
--- a/src/test/java/beaconladder/Script.java
+++ b/src/test/java/beaconladder/Script.java
@@ -32,6 +32,7 @@
     private final StringBuilder trace = new StringBuilder();
     private Logic logic;
     private long now = ZERO;
+    private boolean showsClosing;
 
     Script(String... settings) {
         start.put("family_info.freshness", "loose,recent,own_writes,latest,update,update");
@@ -154,6 +155,12 @@
         return this;
     }
 
+    /** Connections that are closed are traced too, from here on. */
+    Script showClosing() {
+        showsClosing = true;
+        return this;
+    }
+
     /** Forgets the trace so far. */
     Script quiet() {
         trace.setLength(0);
@@ -170,6 +177,9 @@
             for (Host host : pause.probe()) {
                 say("probe " + (char) host.id);
             }
+            for (Host host : showsClosing ? pause.close() : java.util.List.<Host>of()) {
+                say("close " + (char) host.id);
+            }
             if (pause.again().isEmpty()) {
                 return pause.until() <= now ? now + MS : pause.until();
             }
--- a/src/test/java/beaconladder/drill/DrillTest.java
+++ b/src/test/java/beaconladder/drill/DrillTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import beaconladder.api.Router.Word;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
@@ -43,6 +44,30 @@
                         + "0460 00000003  03e8 ff07843b5d3a91c4 00000012 000493e0").replace(" ", ""));
     }
 
+    /** The settings name neither prices nor limits nor rules: their defaults serve all the same. */
+    @Test
+    void aReportThatCannotBeTrueCountsAsNone() {
+        Instance instance = new Instance(0, new Reply());
+        instance.start(7, SETTINGS + "load_report.fields=x0,x1,rif\n", 0);
+        StringBuilder trace = new StringBuilder();
+        float[][] reports = {{2, 1, 3}, {2, 0}, {}, {Float.NaN, 1, 3}, {-1, -1, -3}, {1e9f, 0, 1e9f},
+            {2, Float.NaN, Float.POSITIVE_INFINITY}};
+        for (float[] report : reports) {
+            Word word = instance.word(report);
+            trace.append(word.role()).append(word.position() == Word.NONE ? " nowhere" : " placed")
+                    .append(word.holds() < 0 ? " silent" : " holds " + Math.round(word.holds())).append('\n');
+        }
+        assertThat(trace.toString()).isEqualTo("""
+                PRIMARY placed holds 3
+                REPLICA placed silent
+                UNKNOWN nowhere silent
+                PRIMARY nowhere holds 3
+                UNKNOWN nowhere silent
+                REPLICA nowhere silent
+                UNKNOWN placed silent
+                """);
+    }
+
     @Test
     void badInputIsNamedWithItsPosition() {
         assertThatThrownBy(() -> drill("00000001"))
