--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -522,7 +522,7 @@
         // host does three at a time.
         double expected = paces.size() < 8 ? 0.2 * txn.type.sla() * Math.max(1, (load + 1) / 3)
                 : paces.expected(load);
-        return expected <= Math.min((crowds ? 0.25 : 0.5) * aim(txn, now), 0.8 * left);
+        return expected <= Math.min((crowds ? 0.25 : 0.7) * aim(txn, now), 0.8 * left);
     }
 
     /**
