--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -301,12 +301,7 @@
 
     /** Writes have first call on the primary: no read is released to it while one of them waits. */
     private boolean spare(Group group) {
-        for (Txn txn : group.held) {
-            if (txn.type.read() == Read.WRITE) {
-                return false;
-            }
-        }
-        return true;
+        return group.held.stream().noneMatch(t -> t.type.read() == Read.WRITE);
     }
 
     private boolean fresh(Host host, long target) {
@@ -316,21 +311,11 @@
 
     private boolean anyFresh(Txn txn, long now) {
         long target = target(txn, now);
-        for (Host host : txn.group.members) {
-            if (fresh(host, target)) {
-                return true;
-            }
-        }
-        return false;
+        return txn.group.members.stream().anyMatch(host -> fresh(host, target));
     }
 
     private boolean tried(Txn txn, Host host) {
-        for (Submission s : txn.submissions) {
-            if (s.host == host && !s.ended) {
-                return true;
-            }
-        }
-        return false;
+        return txn.submissions.stream().anyMatch(s -> s.host == host && !s.ended);
     }
 
     /** The position that a replica must have reached now. Rule 5: a bound is judged at the send. */
@@ -347,7 +332,7 @@
             return UNBOUND;
         }
         if (!"router".equals(start.get("family_info.session_marks"))) {
-            return txn.sinceWrite > 0 ? txn.arrived - txn.sinceWrite : UNBOUND;
+            return txn.written;
         }
         Session session = sessions.get(txn.session);
         return session != null ? session.commit : txn.group.forgotten;
@@ -424,8 +409,7 @@
      */
     private long lastUse(Txn txn) {
         long end = txn.type.late() > 0.25 ? txn.expiry : txn.slaEnd;
-        return Math.min(end - txn.group.times.quantile(0.4), txn.expiry - 2 * Long.parseLong(
-                start.getOrDefault("round_us", "5000")) * 1_000);
+        return Math.min(end - txn.group.times.quantile(0.4), txn.expiry - 2 * micros("round_us"));
     }
 
     /** Late answers that earn nothing are not waited for. */
@@ -657,6 +641,21 @@
         return Verdict.rollBack(List.of());
     }
 
+    @Override
+    public boolean stands(Submission s, long now) {
+        Host host = s.host;
+        Read read = s.txn.type.read();
+        return !s.txn.ended && now < s.txn.expiry && host.state == Host.State.READY
+                && (host == host.group.primary || read != Read.WRITE && read != Read.CURRENT
+                && host.position >= target(s.txn, now));
+    }
+
+    /** A second less than the stated time: a host's clock of idleness runs from an earlier byte than ours. */
+    @Override
+    public long keepIdle() {
+        return Math.max(0, micros("limits.conn_idle_us") - 1_000 * MS);
+    }
+
     // ---- The second question: what to do after this outcome -----------------------------------------------
 
     @Override
@@ -738,15 +737,8 @@
 
     /** Copies that are out when the answer is there are called off. */
     private List<Submission> othersOut(Txn txn) {
-        List<Submission> others = new ArrayList<>();
-        if ("true".equals(start.get("limits.cancel"))) {
-            for (Submission s : txn.submissions) {
-                if (!s.ended) {
-                    others.add(s);
-                }
-            }
-        }
-        return others;
+        return "true".equals(start.get("limits.cancel"))
+                ? txn.submissions.stream().filter(s -> !s.ended).toList() : List.of();
     }
 
     // ---- The record of positions and roles ----------------------------------------------------------------
--- /dev/null
+++ b/src/main/java/beaconladder/api/Rounds.java
@@ -0,0 +1,84 @@
+package beaconladder.api;
+
+import beaconladder.fleet.Host;
+import beaconladder.fleet.Submission;
+import beaconladder.fleet.Txn;
+
+/** Carries out what the module answers, in the same rounds at every door: the drill and the sockets. */
+public final class Rounds {
+
+    /** What a door does with an answer of the module; it decides nothing. */
+    public interface Door {
+        void send(Submission submission, long timeout);
+
+        void cancel(Submission submission);
+
+        void decline(Txn txn, long comeBack);
+
+        void rollBack(Txn txn);
+
+        /** The txn has had its final answer. */
+        void ended(Txn txn);
+
+        void probe(Host host);
+
+        void close(Host host);
+    }
+
+    private final Router router;
+    private final Door door;
+
+    public Rounds(Router router, Door door) {
+        this.router = router;
+        this.door = door;
+    }
+
+    /** Carries out one verdict. */
+    public void act(Txn txn, Verdict verdict, long now) {
+        for (Submission s : verdict.cancel()) {
+            door.cancel(s);
+        }
+        switch (verdict.step()) {
+            case SEND -> {
+                Host host = verdict.host();
+                Submission s = new Submission(txn, txn.submissions.size(), host, now,
+                        host.out.size() + host.abandoned.size() + 1);
+                txn.submissions.add(s);
+                host.out.add(s);
+                door.send(s, verdict.timeout());
+            }
+            case DECLINE -> {
+                door.decline(txn, verdict.comeBack());
+                end(txn);
+            }
+            case ROLL_BACK -> {
+                door.rollBack(txn);
+                end(txn);
+            }
+            case DONE -> end(txn);
+            case WAIT -> { }
+        }
+    }
+
+    /** All known at this time has been told: asks about the txns due; returns when to come again. */
+    public long settle(long now) {
+        while (true) {
+            Pause pause = router.pause(now);
+            pause.probe().forEach(door::probe);
+            pause.close().forEach(door::close);
+            if (pause.again().isEmpty()) {
+                return pause.until();
+            }
+            for (Txn txn : pause.again()) {
+                if (!txn.ended) {
+                    act(txn, router.place(txn, now), now);
+                }
+            }
+        }
+    }
+
+    private void end(Txn txn) {
+        txn.ended = true;
+        door.ended(txn);
+    }
+}
--- a/src/main/java/beaconladder/drill/Instance.java
+++ b/src/main/java/beaconladder/drill/Instance.java
@@ -1,12 +1,11 @@
 package beaconladder.drill;
 
 import beaconladder.Logic;
-import beaconladder.api.Pause;
+import beaconladder.api.Rounds;
 import beaconladder.api.Router;
 import beaconladder.api.Router.Outcome;
 import beaconladder.api.Router.Role;
 import beaconladder.api.Router.Word;
-import beaconladder.api.Verdict;
 import beaconladder.fleet.Group;
 import beaconladder.fleet.Host;
 import beaconladder.fleet.Submission;
@@ -20,7 +19,7 @@
 import java.util.Set;
 
 /** One instance on the wire: keeps its txns in hand and its timer, and passes questions and answers. */
-final class Instance {
+final class Instance implements Rounds.Door {
     private static final long LONGEST_TIMER_MICROS = 71L * 60 * 1_000_000;
 
     final long number;
@@ -28,6 +27,7 @@
 
     private final Reply reply;
     private Router router;
+    private Rounds rounds;
     private Map<Integer, Host> hosts = Map.of();
     private Map<Integer, Group> groups = Map.of();
     private Map<Long, Txn> txns = Map.of();
@@ -65,6 +65,7 @@
         taken = 0;
         timerAt = Long.MAX_VALUE;
         router = new Logic(seed, start);
+        rounds = new Rounds(router, this);
         if (asks) {
             reply.tail();
         }
@@ -118,13 +119,13 @@
         guard(() -> {
             long now = clock * 1_000;
             // The age of a write is rounded down, that is, toward the newer position.
-            long sinceWrite = sinceWriteMillis > 0
-                    ? Math.max(1, (long) (Math.nextDown(sinceWriteMillis) * 1e6)) : 0;
+            long written = sinceWriteMillis > 0
+                    ? now - Math.max(1, (long) (Math.nextDown(sinceWriteMillis) * 1e6)) : Word.NONE;
             Group of = groups.computeIfAbsent(group, Group::new);
-            Txn txn = new Txn(call, router.type(type), of, session, sinceWrite, tenant, repeated, now,
+            Txn txn = new Txn(call, router.type(type), of, session, written, tenant, repeated, now,
                     now + budget * 1_000, taken++);
             txns.put(call, txn);
-            act(txn, router.place(txn, now), now);
+            rounds.act(txn, router.place(txn, now), now);
         });
     }
 
@@ -139,7 +140,8 @@
                     : new Word(note % 4 == 1 ? Role.PRIMARY : note % 4 == 2 ? Role.REPLICA : Role.UNKNOWN,
                             note / 4 == 0 ? Word.NONE : zeroMicros * 1_000 + note / 4 * 1_000_000, -1);
             Txn txn = submission.txn;
-            act(txn, router.after(submission, outcome(reason), settled, answer, word(pressure), now), now);
+            rounds.act(txn,
+                    router.after(submission, outcome(reason), settled, answer, word(pressure), now), now);
             if (txn.ended && txn.out() == 0) {
                 txns.remove(call);
             }
@@ -157,7 +159,7 @@
         Txn txn = txns.get(call);
         if (txn != null && !txn.ended) {
             guard(() -> {
-                act(txn, router.left(txn, clock * 1_000), clock * 1_000);
+                rounds.act(txn, router.left(txn, clock * 1_000), clock * 1_000);
             });
         }
     }
@@ -175,65 +177,52 @@
         }
         guard(() -> {
             long now = clock * 1_000;
-            Pause pause = router.pause(now);
-            while (true) {
-                for (Host host : pause.probe()) {
-                    reply.healthCheck(host.id);
-                }
-                for (Host host : pause.close()) {
-                    reply.hangUp(host.id);
-                }
-                if (pause.again().isEmpty()) {
-                    break;
-                }
-                for (Txn txn : pause.again()) {
-                    if (!txn.ended) {
-                        act(txn, router.place(txn, now), now);
-                    }
-                }
-                pause = router.pause(now);
-            }
-            if (pause.until() < timerAt) {
-                timerAt = pause.until();
-                long micros = (Math.max(1_000, pause.until() - now) + 999) / 1_000;
+            long until = rounds.settle(now);
+            if (until < timerAt) {
+                timerAt = until;
+                long micros = (Math.max(1_000, until - now) + 999) / 1_000;
                 reply.wakeMe(++timerHandle, Math.min(micros, LONGEST_TIMER_MICROS));
             }
         });
     }
 
-    private void act(Txn txn, Verdict verdict, long now) {
-        for (Submission s : verdict.cancel()) {
-            reply.dropAttempt(s.txn.id, s.number);
-        }
-        switch (verdict.step()) {
-            case SEND -> {
-                Host host = verdict.host();
-                Submission s = new Submission(txn, txn.submissions.size(), host, now,
-                        host.out.size() + host.abandoned.size() + 1);
-                txn.submissions.add(s);
-                host.out.add(s);
-                reply.issue(txn.id, host.id, Math.max(1, verdict.timeout() / 1_000));
-            }
-            case DECLINE -> {
-                reply.sayNo(txn.id, verdict.comeBack() / 1_000);
-                end(txn);
-            }
-            case ROLL_BACK -> {
-                reply.fail(txn.id);
-                end(txn);
-            }
-            case DONE -> end(txn);
-            case WAIT -> { }
-        }
+    @Override
+    public void send(Submission s, long timeout) {
+        reply.issue(s.txn.id, s.host.id, Math.max(1, timeout / 1_000));
     }
 
-    private void end(Txn txn) {
-        txn.ended = true;
+    @Override
+    public void cancel(Submission s) {
+        reply.dropAttempt(s.txn.id, s.number);
+    }
+
+    @Override
+    public void decline(Txn txn, long comeBack) {
+        reply.sayNo(txn.id, comeBack / 1_000);
+    }
+
+    @Override
+    public void rollBack(Txn txn) {
+        reply.fail(txn.id);
+    }
+
+    @Override
+    public void ended(Txn txn) {
         if (txn.out() == 0) {
             txns.remove(txn.id);
         }
     }
 
+    @Override
+    public void probe(Host host) {
+        reply.healthCheck(host.id);
+    }
+
+    @Override
+    public void close(Host host) {
+        reply.hangUp(host.id);
+    }
+
     private Submission find(long call, int copy) {
         Txn txn = txns.get(call);
         return txn == null || copy >= txn.submissions.size() ? null : txn.submissions.get(copy);
--- a/src/main/java/beaconladder/fleet/Txn.java
+++ b/src/main/java/beaconladder/fleet/Txn.java
@@ -14,8 +14,8 @@
     public final Group group;
     /** The session's key; 0 for none. */
     public final long session;
-    /** How long ago the session's last write was committed, on arrival; 0 or less for none known. */
-    public final long sinceWrite;
+    /** The position of the session's last write, as its client tells; Long.MIN_VALUE for none. */
+    public final long written;
     public final int tenant;
     public final boolean repeated;
     public final long arrived;
@@ -38,13 +38,13 @@
     /** When it is to be looked at again. */
     public long look = Long.MAX_VALUE;
 
-    public Txn(long id, TxnType type, Group group, long session, long sinceWrite, int tenant,
+    public Txn(long id, TxnType type, Group group, long session, long written, int tenant,
             boolean repeated, long arrived, long expiry, long number) {
         this.id = id;
         this.type = type;
         this.group = group;
         this.session = session;
-        this.sinceWrite = sinceWrite;
+        this.written = written;
         this.tenant = tenant;
         this.repeated = repeated;
         this.arrived = arrived;
--- /dev/null
+++ b/src/main/java/beaconladder/roster/Watch.java
@@ -0,0 +1,139 @@
+package beaconladder.roster;
+
+import java.io.IOException;
+import java.math.BigDecimal;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Keeps the watch on discovery: the whole list first, then what changes, for as long as the program runs. */
+public final class Watch implements Runnable {
+    private static final Logger LOG = LoggerFactory.getLogger(Watch.class);
+    /** Long waits keep calls rare; discovery takes up to a minute. */
+    private static final int WAIT_MILLIS = 20_000;
+    /** An answer is due at the end of the wait; after two seconds more the call is given up. */
+    private static final int LATE_MILLIS = 2_000;
+    /** Soon enough for the watch to count as kept, up to a second while discovery is away. */
+    private static final int FIRST_RETRY_MILLIS = 50;
+    private static final int LAST_RETRY_MILLIS = 1_000;
+
+    /** One host as discovery lists it. */
+    public record Entry(String id, InetSocketAddress address, String zone, int group, State state,
+            boolean leader, long launchedMillis) {
+    }
+
+    /** What discovery says of a host. */
+    public enum State { READY, DRAINING, GONE }
+
+    /** Takes the news. */
+    public interface Listener {
+        void listed(boolean whole, List<Entry> entries);
+    }
+
+    private final InetSocketAddress discovery;
+    private final Listener listener;
+    private long version = -1;
+    private volatile boolean stopped;
+
+    public Watch(InetSocketAddress discovery, Listener listener) {
+        this.discovery = discovery;
+        this.listener = listener;
+    }
+
+    @Override
+    public void run() {
+        HttpGet http = new HttpGet(discovery);
+        int pause = FIRST_RETRY_MILLIS;
+        while (!stopped) {
+            try {
+                String path = version < 0 ? "/v1/servers"
+                        : "/v1/servers?index=" + version + "&wait=" + WAIT_MILLIS;
+                take(http.get(path, (version < 0 ? 0 : WAIT_MILLIS) + LATE_MILLIS));
+                pause = FIRST_RETRY_MILLIS;
+            } catch (IOException | Json.Fault e) {
+                LOG.warn("discovery: {}; the last list stands", e.getMessage());
+                pause = rest(pause);
+            } catch (RuntimeException | Error e) {
+                LOG.error("discovery: the last list stands", e);
+                pause = rest(pause);
+            }
+        }
+        http.close();
+    }
+
+    public void stop() {
+        stopped = true;
+    }
+
+    private int rest(int millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            stopped = true;
+        }
+        return Math.min(2 * millis, LAST_RETRY_MILLIS);
+    }
+
+    private void take(String body) throws Json.Fault, IOException {
+        if (!(Json.read(body) instanceof Map<?, ?> news)) {
+            throw new IOException("no list of hosts");
+        }
+        List<Entry> entries = entries(news);
+        boolean whole = Boolean.TRUE.equals(news.get("full"));
+        // Without a version the next call would ask for the whole list again, in a spin.
+        if (!(news.get("version") instanceof BigDecimal number)) {
+            throw new IOException("a list without its version");
+        }
+        if (whole || !entries.isEmpty()) {
+            listener.listed(whole, entries);
+        }
+        version = number.longValue();
+    }
+
+    /** The entries of a list; one that can't be read makes the whole of it void. */
+    public static List<Entry> entries(Map<?, ?> news) throws IOException {
+        if (!(news.get("servers") instanceof List<?> list)) {
+            throw new IOException("no list of hosts");
+        }
+        List<Entry> entries = new ArrayList<>();
+        for (Object each : list) {
+            if (!(each instanceof Map<?, ?> e) || !(e.get("id") instanceof String id)
+                    || !(e.get("cell") instanceof BigDecimal cell)) {
+                throw new IOException("an entry without id or group");
+            }
+            State state = switch (String.valueOf(e.get("state"))) {
+                case "Ready" -> State.READY;
+                case "Terminating" -> State.DRAINING;
+                case "Gone" -> State.GONE;
+                default -> throw new IOException("an unknown state " + e.get("state"));
+            };
+            InetSocketAddress address = e.get("addr") instanceof String a ? address(a) : null;
+            if (address == null && state != State.GONE) {
+                throw new IOException("no address of " + id);
+            }
+            long launched = e.get("started_ms") instanceof BigDecimal started ? started.longValue() : 0;
+            entries.add(new Entry(id, address, String.valueOf(e.get("zone")), cell.intValue(), state,
+                    "leader".equals(e.get("role")), launched));
+        }
+        return entries;
+    }
+
+    /** An address of the form 10.0.0.4:5432; names are not looked up. Null for any other text. */
+    public static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            String host = text.substring(0, Math.max(0, colon));
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (!host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+\\]")) {
+                return null;
+            }
+            InetSocketAddress address = new InetSocketAddress(host, port);
+            return address.isUnresolved() ? null : address;
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -0,0 +1,373 @@
+package beaconladder.serve;
+
+import beaconladder.api.Router.Word;
+import beaconladder.fleet.Group;
+import beaconladder.fleet.Submission;
+import beaconladder.pg.Inbox;
+import beaconladder.pg.Inbox.Got;
+import beaconladder.pg.Outbox;
+import beaconladder.pg.Statement;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A client's connection: its reader sees the frames and the client leave, its task sees each txn through. */
+final class Client implements Runnable {
+    private static final Logger LOG = LoggerFactory.getLogger(Client.class);
+    private static final int VERSION_3 = 3 << 16;
+    private static final int CANCEL = 80877102;
+    private static final int SSL = 80877103;
+    private static final int GSSENC = 80877104;
+    /** So many queries written ahead are read; further ones wait in the socket. */
+    private static final int AHEAD = 64;
+    /** What a client still sends after its end was told is read so long, so that the message reaches it. */
+    private static final int LINGER_MILLIS = 500;
+
+    /** A piece of work for the task: a query to answer, or, without one, messages to write. */
+    private record Work(String query, long arrived, Outbox messages, boolean last) {
+    }
+
+    private final Clients clients;
+    private final Desk desk;
+    private final Lines lines;
+    private final Socket socket;
+    private final ArrayDeque<Work> work = new ArrayDeque<>();
+    private boolean busy;
+    private boolean over;
+    private Hand hand;
+    /** When it last did something, on System.nanoTime's clock. */
+    private volatile long usedAt = System.nanoTime();
+
+    Client(Clients clients, Desk desk, Lines lines, Socket socket) {
+        this.clients = clients;
+        this.desk = desk;
+        this.lines = lines;
+        this.socket = socket;
+    }
+
+    long usedAt() {
+        return usedAt;
+    }
+
+    // ---- The reader ---------------------------------------------------------------------------------------
+
+    @Override
+    public void run() {
+        try {
+            socket.setTcpNoDelay(true);
+            Inbox in = new Inbox(socket);
+            if (greet(in)) {
+                read(in);
+            }
+            linger();
+        } catch (IOException e) {
+            LOG.debug("a client's connection broke: {}", e.toString());
+        } catch (RuntimeException | Error e) {
+            LOG.error("a client's connection ends", e);
+        } finally {
+            leave();
+        }
+    }
+
+    /** The opening; false when nothing is to follow. */
+    private boolean greet(Inbox in) throws IOException {
+        while (true) {
+            Got got = in.opening(0);
+            if (got == Got.MALFORMED) {
+                return fatal("08P01", "a startup message of impossible length");
+            }
+            if (got != Got.MESSAGE || in.end() - in.at() < 4) {
+                return false;
+            }
+            int version = in.int32(in.at());
+            if (version == SSL || version == GSSENC) {
+                socket.getOutputStream().write('N');
+            } else if (version == CANCEL) {
+                return false;
+            } else if (version >> 16 != 3) {
+                return fatal("0A000", "protocol " + (version >> 16) + "." + (version & 0xffff)
+                        + " is not spoken here, 3.0 is");
+            } else {
+                Outbox out = new Outbox();
+                if (version != VERSION_3) {
+                    out.negotiateVersion();
+                }
+                if (clients.full()) {
+                    return fatal("53300", "too many connections");
+                }
+                send(out.authenticationOk().parameterStatus("server_version", "15.0")
+                        .parameterStatus("client_encoding", "UTF8").parameterStatus("server_encoding", "UTF8")
+                        .parameterStatus("standard_conforming_strings", "on").backendKey(0, 0).ready());
+                return true;
+            }
+        }
+    }
+
+    private void read(Inbox in) throws IOException {
+        boolean skipping = false;
+        while (true) {
+            Got got = in.next(0);
+            if (got == Got.MALFORMED) {
+                add(new Work(null, 0, new Outbox().error("FATAL", "08P01",
+                        "a message of impossible length", null), true));
+                return;
+            }
+            if (got == Got.CUT) {
+                add(new Work(null, 0, new Outbox().error("FATAL", "08P01", "a message that is cut off", null),
+                        true));
+                return;
+            }
+            if (got != Got.MESSAGE) {
+                return;
+            }
+            usedAt = System.nanoTime();
+            switch (in.type()) {
+                case 'Q' -> {
+                    if (!skipping) {
+                        add(new Work(in.text(in.at()), desk.now(), null, false));
+                    }
+                }
+                case 'X' -> {
+                    return;
+                }
+                case 'P', 'B', 'D', 'E', 'C', 'F', 'H', 'd', 'c', 'f' -> {
+                    if (!skipping) {
+                        skipping = true;
+                        add(new Work(null, 0, new Outbox().error("ERROR", "0A000",
+                                "only simple queries are spoken here", null), false));
+                    }
+                }
+                case 'S' -> {
+                    skipping = false;
+                    add(new Work(null, 0, new Outbox().ready(), false));
+                }
+                default -> {
+                    add(new Work(null, 0, new Outbox().error("FATAL", "08P01",
+                            "a message of an unknown type", null), true));
+                    return;
+                }
+            }
+        }
+    }
+
+    private void add(Work next) throws IOException {
+        synchronized (this) {
+            while (work.size() >= AHEAD && !over) {
+                try {
+                    wait();
+                } catch (InterruptedException e) {
+                    throw new IOException("interrupted", e);
+                }
+            }
+            work.add(next);
+            if (busy || over) {
+                return;
+            }
+            busy = true;
+        }
+        clients.execute(this::serve);
+    }
+
+    /** Reads on for a while if the end was told, so that the message is not lost by a reset. */
+    private void linger() throws IOException {
+        synchronized (this) {
+            if (!busy && !socket.isOutputShutdown()) {
+                return;
+            }
+        }
+        long until = System.nanoTime() + LINGER_MILLIS * 1_000_000L;
+        byte[] waste = new byte[512];
+        InputStream in = socket.getInputStream();
+        long left = until - System.nanoTime();
+        while (left > 0 && !socket.isClosed()) {
+            socket.setSoTimeout((int) Math.max(1, left / 1_000_000));
+            if (in.read(waste) < 0) {
+                return;
+            }
+            left = until - System.nanoTime();
+        }
+    }
+
+    private void leave() {
+        Hand current;
+        synchronized (this) {
+            over = true;
+            work.clear();
+            current = hand;
+            notifyAll();
+        }
+        if (current != null) {
+            desk.left(current);
+        }
+        close();
+        clients.gone(this);
+    }
+
+    private boolean fatal(String code, String message) throws IOException {
+        send(new Outbox().error("FATAL", code, message, null));
+        socket.shutdownOutput();
+        return false;
+    }
+
+    void close() {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // It is gone either way.
+        }
+    }
+
+    /** Ends the connection if nothing is in hand on it; the client sees its end. */
+    synchronized boolean closeIfIdle() {
+        if (busy || !work.isEmpty() || over) {
+            return false;
+        }
+        over = true;
+        try {
+            socket.shutdownOutput();
+        } catch (IOException e) {
+            close();
+        }
+        return true;
+    }
+
+    // ---- The task -----------------------------------------------------------------------------------------
+
+    private void serve() {
+        boolean well = true;
+        while (true) {
+            Work next;
+            synchronized (this) {
+                next = well ? work.poll() : null;
+                notifyAll();
+                if (next == null) {
+                    busy = false;
+                    break;
+                }
+            }
+            try {
+                if (next.query() != null) {
+                    answer(next.query(), next.arrived());
+                } else {
+                    send(next.messages());
+                }
+                if (next.last()) {
+                    socket.shutdownOutput();
+                    well = false;
+                }
+            } catch (IOException e) {
+                well = false;
+                close();
+            } catch (InterruptedException e) {
+                well = false;
+                close();
+            } catch (RuntimeException | Error e) {
+                LOG.error("a client's connection ends", e);
+                well = false;
+                close();
+            }
+            usedAt = System.nanoTime();
+        }
+        if (clients.draining()) {
+            closeIfIdle();
+        }
+    }
+
+    /** The life of one txn. */
+    private void answer(String query, long arrived) throws IOException, InterruptedException {
+        String plain = query.strip();
+        String first = plain.split("[\\s;]", 2)[0].toUpperCase(Locale.ROOT);
+        if (plain.isEmpty() || plain.equals(";")) {
+            send(new Outbox().emptyQuery().ready());
+            return;
+        }
+        if (first.equals("SET") || first.equals("RESET") || first.equals("DISCARD")) {
+            send(new Outbox().commandComplete(first).ready());
+            return;
+        }
+        Statement statement = Statement.read(query);
+        String fault = statement.fault();
+        if (fault != null) {
+            send(new Outbox().error("ERROR", "42601", fault, null).ready());
+            return;
+        }
+        Integer type = desk.typePlace(String.valueOf(statement.value("c")));
+        long cluster = number(statement.value("cluster"));
+        Group group = cluster < 0 || cluster > Integer.MAX_VALUE ? null : desk.group((int) cluster);
+        long budget = number(statement.value("d"));
+        String after = statement.value("after");
+        long written = after == null ? Word.NONE : Ending.nanos(after, 6);
+        String wrong = statement.value("id") == null || statement.value("id").isEmpty() ? "id"
+                : type == null ? "c" : group == null ? "cluster"
+                : budget <= 0 || budget > 86_400_000 ? "d"
+                : after != null && written == Word.NONE ? "after" : null;
+        if (wrong != null) {
+            String value = statement.value(wrong);
+            send(new Outbox().error("ERROR", value == null ? "42601" : "22023", value == null
+                    ? "the comment lacks " + wrong : "the comment has an impossible " + wrong, null).ready());
+            return;
+        }
+        Hand taken = desk.take(type, group, statement.session(), written, statement.value("t"),
+                "1".equals(statement.value("r")), arrived, arrived + budget * 1_000_000);
+        synchronized (this) {
+            hand = taken;
+        }
+        if (over()) {
+            desk.left(taken);
+        }
+        try {
+            send(finish(taken, statement));
+        } finally {
+            synchronized (this) {
+                hand = null;
+            }
+        }
+    }
+
+    /** Does what the desk tells until the txn has its end; returns the final answer. */
+    private Outbox finish(Hand taken, Statement statement) throws InterruptedException {
+        Map<Submission, Lines.Call> calls = new HashMap<>();
+        while (true) {
+            Hand.Order order = taken.take();
+            switch (order.kind()) {
+                case SEND -> calls.put(order.submission(),
+                        lines.send(order.submission(), statement, desk.nanoTime(order.nanos())));
+                case CANCEL -> calls.get(order.submission()).cancel();
+                case COMMITTED -> {
+                    return order.answer().ready();
+                }
+                case DECLINED -> {
+                    String detail = order.nanos() > 0 ? String.valueOf(order.nanos() / 1_000_000) : null;
+                    return new Outbox().error("ERROR", "53300", "declined; it has not run, try again", detail)
+                            .ready();
+                }
+                case ROLLED_BACK -> {
+                    return new Outbox().error("ERROR", "40003", "rolled back; it may have run", null).ready();
+                }
+                case LEFT -> {
+                    return new Outbox();
+                }
+            }
+        }
+    }
+
+    private synchronized boolean over() {
+        return over;
+    }
+
+    private static long number(String digits) {
+        return digits == null || !digits.matches("[0-9]{1,15}") ? -1 : Long.parseLong(digits);
+    }
+
+    private void send(Outbox out) throws IOException {
+        if (out.size() > 0) {
+            out.writeTo(socket.getOutputStream());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/serve/Clients.java
@@ -0,0 +1,111 @@
+package beaconladder.serve;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Comparator;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Takes clients in, within the descriptors there are. */
+final class Clients implements Runnable {
+    private static final Logger LOG = LoggerFactory.getLogger(Clients.class);
+    /** Descriptors for the program itself (about 20), the watch, and clients that are only told to go. */
+    private static final int RESERVE = 64;
+    private static final int BACKLOG = 1024;
+
+    private final Desk desk;
+    private final Lines lines;
+    private final ExecutorService threads;
+    private final int most;
+    private final Set<Client> all = ConcurrentHashMap.newKeySet();
+    private ServerSocket listener;
+    private volatile boolean draining;
+    private volatile boolean closed;
+
+    Clients(Desk desk, Lines lines, ExecutorService threads, int descriptors) {
+        this.desk = desk;
+        this.lines = lines;
+        this.threads = threads;
+        this.most = Math.max(1, descriptors - RESERVE);
+    }
+
+    void listen(InetSocketAddress address) throws IOException {
+        listener = new ServerSocket();
+        listener.setReuseAddress(true);
+        listener.bind(address, BACKLOG);
+    }
+
+    @Override
+    public void run() {
+        while (!closed) {
+            try {
+                Socket socket = listener.accept();
+                if (all.size() + lines.open() >= most) {
+                    makeRoom();
+                }
+                Client client = new Client(this, desk, lines, socket);
+                all.add(client);
+                threads.execute(client);
+            } catch (IOException | RuntimeException | Error e) {
+                if (!closed) {
+                    LOG.error("taking clients in goes on after a fault", e);
+                    makeRoom();
+                    pause();
+                }
+            }
+        }
+    }
+
+    /** Connections that lie idle go first: to hosts, then of clients. */
+    private void makeRoom() {
+        if (!lines.closeOldest()) {
+            all.stream().sorted(Comparator.comparingLong(Client::usedAt)).filter(Client::closeIfIdle).findFirst();
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(10);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Whether a client that has just come can't be kept. */
+    boolean full() {
+        return all.size() + lines.open() > most;
+    }
+
+    int count() {
+        return all.size();
+    }
+
+    void execute(Runnable task) {
+        threads.execute(task);
+    }
+
+    void gone(Client client) {
+        all.remove(client);
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    /** Takes no more clients in, and ends each connection once nothing is in hand on it. */
+    void drain() {
+        closed = true;
+        draining = true;
+        try {
+            listener.close();
+        } catch (IOException e) {
+            LOG.warn("the listener: {}", e.toString());
+        }
+        all.forEach(Client::closeIfIdle);
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/serve/Desk.java
@@ -0,0 +1,301 @@
+package beaconladder.serve;
+
+import beaconladder.Logic;
+import beaconladder.api.Rounds;
+import beaconladder.api.Router;
+import beaconladder.api.Router.Outcome;
+import beaconladder.api.Router.Word;
+import beaconladder.fleet.Group;
+import beaconladder.fleet.Host;
+import beaconladder.fleet.Submission;
+import beaconladder.fleet.Txn;
+import beaconladder.pg.Outbox;
+import beaconladder.roster.Watch;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.LongConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Holds the module, its one lock and its one clock. Each event is told under the lock, then the rounds are played;
+ * what has to be done on sockets is done by others, or here once the lock is free.
+ */
+final class Desk implements Rounds.Door, Watch.Listener, Runnable {
+    private static final Logger LOG = LoggerFactory.getLogger(Desk.class);
+    /** The timer rests at least so long between two looks, so that it can't spin. */
+    private static final long SHORTEST_REST = 1_000_000;
+
+    /** Does on sockets what the rounds ask for beside the txns. */
+    interface Errands {
+        void probe(Host host);
+
+        void closeIdle(Host host);
+    }
+
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Condition sooner = lock.newCondition();
+    private final Router router;
+    private final Rounds rounds;
+    private final Map<Txn, Hand> hands = new HashMap<>();
+    private final Map<String, Host> hosts = new LinkedHashMap<>();
+    private final Map<Integer, Group> groups = new ConcurrentHashMap<>();
+    private final Map<Host, InetSocketAddress> addresses = new ConcurrentHashMap<>();
+    private final Map<String, Integer> typePlaces = new HashMap<>();
+    private final Map<String, Integer> tenantPlaces = new HashMap<>();
+    private final List<String> zones;
+    private final long anchor = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
+    private final List<Host> toProbe = new ArrayList<>();
+    private final List<Host> toClose = new ArrayList<>();
+    private volatile Errands errands;
+    private long until = Long.MAX_VALUE;
+    private long taken;
+    private volatile boolean stopped;
+
+    Desk(long seed, Map<String, String> start) {
+        router = new Logic(seed, start);
+        rounds = new Rounds(router, this);
+        zones = Arrays.asList(start.getOrDefault("zones", "").split(","));
+        places(start, "request_classes", typePlaces);
+        places(start, "parties", tenantPlaces);
+    }
+
+    private static void places(Map<String, String> start, String list, Map<String, Integer> into) {
+        int count = Integer.parseInt(start.getOrDefault(list + ".count", "0"));
+        for (int i = 0; i < count; i++) {
+            into.put(start.getOrDefault(list + "." + i + ".name", String.valueOf(i)), i);
+        }
+    }
+
+    void errands(Errands to) {
+        errands = to;
+    }
+
+    /** Unix time in nanoseconds; never runs backwards. */
+    long now() {
+        return anchor + System.nanoTime();
+    }
+
+    /** The moment of the desk's clock on System.nanoTime's. */
+    long nanoTime(long moment) {
+        return moment - anchor;
+    }
+
+    Integer typePlace(String name) {
+        return typePlaces.get(name);
+    }
+
+    Group group(int number) {
+        return groups.get(number);
+    }
+
+    InetSocketAddress address(Host host) {
+        return addresses.get(host);
+    }
+
+    long keepIdle() {
+        return router.keepIdle();
+    }
+
+    boolean knowsHosts() {
+        return !addresses.isEmpty();
+    }
+
+    /** Takes a txn in: its task is told through the hand what to do. */
+    Hand take(int type, Group group, long session, long written, String tenant, boolean repeated, long arrived,
+            long expiry) {
+        lock.lock();
+        Hand hand;
+        try {
+            hand = new Hand(new Txn(taken, router.type(type), group, session, written,
+                    tenantPlaces.getOrDefault(tenant, -1), repeated, arrived, expiry, taken++));
+            hands.put(hand.txn, hand);
+        } finally {
+            lock.unlock();
+        }
+        tell(now -> rounds.act(hand.txn, router.place(hand.txn, now), now));
+        return hand;
+    }
+
+    /** Whether this submission may still go; asked right before its bytes. */
+    boolean stands(Submission s) {
+        lock.lock();
+        try {
+            return router.stands(s, now());
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** A submission has ended. */
+    void ended(Submission s, Outcome outcome, Word answer, Word report, Outbox messages) {
+        tell(now -> {
+            if (s.ended) {
+                return;
+            }
+            boolean settled = s.txn.ended || outcome == Outcome.COMMITTED;
+            Hand hand = hands.get(s.txn);
+            rounds.act(s.txn, router.after(s, outcome, settled, answer, report, now), now);
+            if (hand != null && outcome == Outcome.COMMITTED) {
+                hand.tell(Hand.Kind.COMMITTED, s, 0, messages);
+            }
+        });
+    }
+
+    /** The client of this txn has left. */
+    void left(Hand hand) {
+        tell(now -> {
+            if (!hand.txn.ended) {
+                rounds.act(hand.txn, router.left(hand.txn, now), now);
+                hand.tell(Hand.Kind.LEFT, null, 0, null);
+            }
+        });
+    }
+
+    void probed(Host host, Outcome outcome, Word report) {
+        tell(now -> router.probed(host, outcome, report, now));
+    }
+
+    @Override
+    public void listed(boolean whole, List<Watch.Entry> entries) {
+        List<Host> moved = new ArrayList<>();
+        tell(now -> {
+            Set<Host> named = new HashSet<>();
+            for (Watch.Entry e : entries) {
+                Group group = groups.computeIfAbsent(e.group(), Group::new);
+                Host host = hosts.computeIfAbsent(e.id(),
+                        id -> new Host(hosts.size(), group, zones.indexOf(e.zone())));
+                named.add(host);
+                if (e.address() != null) {
+                    InetSocketAddress before = addresses.put(host, e.address());
+                    if (before != null && !before.equals(e.address())) {
+                        moved.add(host);
+                    }
+                }
+                Host.State state = switch (e.state()) {
+                    case READY -> Host.State.READY;
+                    case DRAINING -> Host.State.DRAINING;
+                    case GONE -> Host.State.GONE;
+                };
+                if (state != Host.State.READY || e.launchedMillis() * 1_000_000 > host.launched) {
+                    moved.add(host);
+                }
+                router.listed(host, e.leader(), state, e.launchedMillis() * 1_000_000, now);
+            }
+            if (whole) {
+                for (Host host : hosts.values()) {
+                    if (!named.contains(host) && host.state != Host.State.GONE) {
+                        router.listed(host, false, Host.State.GONE, host.launched, now);
+                        moved.add(host);
+                    }
+                }
+            }
+        });
+        if (errands != null) {
+            moved.forEach(errands::closeIdle);
+        }
+    }
+
+    private void tell(LongConsumer news) {
+        List<Host> probe;
+        List<Host> close;
+        lock.lock();
+        try {
+            long now = now();
+            news.accept(now);
+            long next = rounds.settle(now);
+            if (next < until) {
+                sooner.signal();
+            }
+            until = next;
+            probe = List.copyOf(toProbe);
+            close = List.copyOf(toClose);
+            toProbe.clear();
+            toClose.clear();
+        } finally {
+            lock.unlock();
+        }
+        probe.forEach(errands::probe);
+        close.forEach(errands::closeIdle);
+    }
+
+    /** The timer: sleeps until the rounds are due by themselves. */
+    @Override
+    public void run() {
+        while (!stopped) {
+            try {
+                lock.lock();
+                try {
+                    long left = until - now();
+                    if (left > 0) {
+                        sooner.awaitNanos(Math.max(SHORTEST_REST, left));
+                    }
+                } finally {
+                    lock.unlock();
+                }
+                if (until <= now()) {
+                    tell(now -> { });
+                    Thread.sleep(0, (int) Math.min(999_999, SHORTEST_REST - 1));
+                }
+            } catch (InterruptedException e) {
+                stopped = true;
+            } catch (RuntimeException | Error e) {
+                LOG.error("the timer goes on after a fault", e);
+            }
+        }
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    // ---- What the rounds ask for, under the lock ----------------------------------------------------------
+
+    @Override
+    public void send(Submission s, long timeout) {
+        hands.get(s.txn).tell(Hand.Kind.SEND, s, s.sent + timeout, null);
+    }
+
+    @Override
+    public void cancel(Submission s) {
+        Hand hand = hands.get(s.txn);
+        if (hand != null) {
+            hand.tell(Hand.Kind.CANCEL, s, 0, null);
+        }
+    }
+
+    @Override
+    public void decline(Txn txn, long comeBack) {
+        hands.get(txn).tell(Hand.Kind.DECLINED, null, comeBack, null);
+    }
+
+    @Override
+    public void rollBack(Txn txn) {
+        hands.get(txn).tell(Hand.Kind.ROLLED_BACK, null, 0, null);
+    }
+
+    @Override
+    public void ended(Txn txn) {
+        hands.remove(txn);
+    }
+
+    @Override
+    public void probe(Host host) {
+        toProbe.add(host);
+    }
+
+    @Override
+    public void close(Host host) {
+        toClose.add(host);
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/serve/Ending.java
@@ -0,0 +1,102 @@
+package beaconladder.serve;
+
+import beaconladder.api.Router.Outcome;
+import beaconladder.api.Router.Role;
+import beaconladder.api.Router.Word;
+import beaconladder.pg.Outbox;
+
+/**
+ * How an exchange with a host ended, and how far it had come.
+ *
+ * @param reach    how far it had come
+ * @param code     the host's error code, or null
+ * @param row      whether a whole answer came
+ * @param timedOut whether it was given up waiting
+ * @param role     what the host said of its role
+ * @param position the position it said, in nanoseconds
+ * @param load     the report it gave, or null
+ * @param messages the answer as it came
+ * @param reusable whether the connection stands for the next
+ */
+record Ending(Reach reach, String code, boolean row, boolean timedOut, Role role, long position, String load,
+        Outbox messages, boolean reusable) {
+
+    /** How far a submission had come when it ended. */
+    enum Reach { NOT_CONNECTED, PART_WRITTEN, WRITTEN, ANSWER_BEGUN }
+
+    static Ending early(Reach reach) {
+        return new Ending(reach, null, false, false, Role.UNKNOWN, Word.NONE, null, null, false);
+    }
+
+    /** The outcome in the module's words. */
+    Outcome outcome() {
+        if (reach == Reach.NOT_CONNECTED || reach == Reach.PART_WRITTEN) {
+            return Outcome.UNREACHABLE;
+        }
+        if (row) {
+            return Outcome.COMMITTED;
+        }
+        if (code != null) {
+            return switch (code) {
+                case "25006", "72000" -> Outcome.MISS;
+                case "53300" -> Outcome.FULL;
+                default -> Outcome.ERROR;
+            };
+        }
+        return timedOut ? Outcome.TIMED_OUT : Outcome.RESET;
+    }
+
+    /** What the answer itself says. */
+    Word word() {
+        return role == Role.UNKNOWN && position == Word.NONE ? Word.SILENT : new Word(role, position, -1);
+    }
+
+    /** What the report that came along says; a field that can't be read counts as not reported. */
+    Word report() {
+        return report(load);
+    }
+
+    static Word report(String load) {
+        long position = Word.NONE;
+        double holds = -1;
+        Role role = Role.UNKNOWN;
+        if (load == null) {
+            return Word.SILENT;
+        }
+        for (String pair : load.split(",")) {
+            int equals = pair.indexOf('=');
+            String value = pair.substring(equals + 1).strip();
+            switch (pair.substring(0, Math.max(0, equals)).strip()) {
+                case "x0" -> position = nanos(value, 9);
+                case "x1" -> {
+                    double x = figure(value);
+                    role = x < 0 ? Role.UNKNOWN : x >= 0.5 ? Role.PRIMARY : Role.REPLICA;
+                }
+                case "inflight", "rif" -> holds = figure(value);
+                default -> { }
+            }
+        }
+        return new Word(role, position, holds);
+    }
+
+    private static double figure(String text) {
+        try {
+            double value = Double.parseDouble(text);
+            // A million stands far above what a host can hold.
+            return value >= 0 && value < 1e6 ? value : -1;
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    /** A decimal number times a power of ten, rounded down and exact; NONE when it is no position. */
+    static long nanos(String text, int power) {
+        try {
+            long value = new java.math.BigDecimal(text).movePointRight(power)
+                    .setScale(0, java.math.RoundingMode.FLOOR).longValueExact();
+            return value > 0 ? value : Word.NONE;
+        } catch (ArithmeticException | NumberFormatException e) {
+            return Word.NONE;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/serve/Lines.java
@@ -0,0 +1,242 @@
+package beaconladder.serve;
+
+import beaconladder.api.Router.Outcome;
+import beaconladder.api.Router.Word;
+import beaconladder.fleet.Host;
+import beaconladder.fleet.Submission;
+import beaconladder.pg.Outbox;
+import beaconladder.pg.Statement;
+import beaconladder.serve.Ending.Reach;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** The connections to hosts: those in use, a thread each, and those that wait for the next use. */
+final class Lines implements Desk.Errands {
+    private final Desk desk;
+    private final Executor threads;
+    private final long dialNanos;
+    private final String probeQuery;
+    private final boolean probeReports;
+    private final Map<Host, Deque<Line>> idle = new HashMap<>();
+    private final Set<Call> calls = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger open = new AtomicInteger();
+
+    Lines(Desk desk, Map<String, String> start, Executor threads) {
+        this.desk = desk;
+        this.threads = threads;
+        this.dialNanos = Long.parseLong(start.getOrDefault("limits.dial_timeout_us", "250000")) * 1_000;
+        this.probeReports = "on_probe".equals(start.get("load_report.how"));
+        this.probeQuery = probeReports ? "SHOW server_load" : "SELECT 1";
+    }
+
+    /** Descriptors held. */
+    int open() {
+        return open.get();
+    }
+
+    /** A use of a connection, which can be called off. */
+    final class Call implements Runnable {
+        private final Host host;
+        private final Submission submission;
+        private final Statement statement;
+        private final long until;
+        private Line line;
+        private boolean cancelled;
+
+        private Call(Host host, Submission submission, Statement statement, long until) {
+            this.host = host;
+            this.submission = submission;
+            this.statement = statement;
+            this.until = until;
+        }
+
+        @Override
+        public void run() {
+            calls.add(this);
+            Ending ending = Ending.early(Reach.NOT_CONNECTED);
+            boolean moot = false;
+            try {
+                if (connect()) {
+                    moot = submission != null && !desk.stands(submission);
+                    if (!moot) {
+                        ending = line.exchange(Outbox.query(text()), until);
+                    }
+                }
+            } finally {
+                calls.remove(this);
+                boolean calledOff = finish(moot || ending.reusable());
+                if (submission == null) {
+                    Outcome outcome = ending.outcome();
+                    Word report = probeReports && ending.row()
+                            ? Ending.report(ending.messages().cell()) : ending.report();
+                    desk.probed(host, outcome, report);
+                } else {
+                    Outcome outcome = ending.outcome();
+                    if (moot || calledOff && outcome == Outcome.UNREACHABLE) {
+                        outcome = Outcome.MOOT;
+                    } else if (calledOff && outcome == Outcome.RESET) {
+                        outcome = Outcome.CANCELLED;
+                    }
+                    desk.ended(submission, outcome, ending.word(), ending.report(), ending.messages());
+                }
+            }
+        }
+
+        private String text() {
+            return submission == null ? probeQuery
+                    : statement.waiting(Math.max(1, (until - System.nanoTime()) / 1_000_000));
+        }
+
+        /** Gets an idle connection that still stands, or makes one; false when there is none in time. */
+        private boolean connect() {
+            InetSocketAddress address = desk.address(host);
+            while (address != null) {
+                Line next = takeIdle(host);
+                boolean fresh = next == null;
+                if (fresh) {
+                    try {
+                        next = new Line(address);
+                        open.incrementAndGet();
+                    } catch (IOException e) {
+                        return false;
+                    }
+                }
+                synchronized (this) {
+                    line = next;
+                    if (cancelled) {
+                        return false;
+                    }
+                }
+                if (fresh) {
+                    return next.open(Math.min(until, System.nanoTime() + dialNanos));
+                }
+                if (next.address.equals(address) && next.alive()) {
+                    return true;
+                }
+                close(next);
+            }
+            return false;
+        }
+
+        /** Stops it: its connection is closed, as what comes on it late is nobody's. */
+        synchronized void cancel() {
+            cancelled = true;
+            if (line != null) {
+                line.close();
+            }
+        }
+
+        private synchronized boolean finish(boolean reusable) {
+            if (line != null) {
+                if (reusable && !cancelled) {
+                    giveBack(host, line);
+                } else {
+                    close(line);
+                }
+                line = null;
+            }
+            return cancelled;
+        }
+    }
+
+    /** Starts a submission; it is to be over at this nanoTime. */
+    Call send(Submission submission, Statement statement, long until) {
+        Call call = new Call(submission.host, submission, statement, until);
+        threads.execute(call);
+        return call;
+    }
+
+    @Override
+    public void probe(Host host) {
+        threads.execute(new Call(host, null, null, System.nanoTime() + dialNanos));
+    }
+
+    @Override
+    public void closeIdle(Host host) {
+        Deque<Line> all;
+        synchronized (idle) {
+            all = idle.remove(host);
+        }
+        if (all != null) {
+            all.forEach(this::close);
+        }
+    }
+
+    /** Closes what lay idle too long, and calls that hang past their time. */
+    void sweep() {
+        long now = System.nanoTime();
+        long oldest = now - desk.keepIdle();
+        List<Line> old = new ArrayList<>();
+        synchronized (idle) {
+            idle.values().forEach(of -> of.removeIf(line -> line.usedAt < oldest && old.add(line)));
+        }
+        old.forEach(this::close);
+        for (Call call : calls) {
+            // A call ends itself by its time-outs; only one stuck in a write gets here.
+            if (now - call.until > 100_000_000) {
+                call.cancel();
+            }
+        }
+    }
+
+    /** Closes the connection that has lain idle longest; false when none is idle. */
+    boolean closeOldest() {
+        Line oldest = null;
+        synchronized (idle) {
+            Deque<Line> from = null;
+            for (Deque<Line> of : idle.values()) {
+                if (!of.isEmpty() && (oldest == null || of.peekLast().usedAt < oldest.usedAt)) {
+                    oldest = of.peekLast();
+                    from = of;
+                }
+            }
+            if (from != null) {
+                from.removeLast();
+            }
+        }
+        if (oldest != null) {
+            close(oldest);
+        }
+        return oldest != null;
+    }
+
+    private Line takeIdle(Host host) {
+        long oldest = System.nanoTime() - desk.keepIdle();
+        synchronized (idle) {
+            Deque<Line> of = idle.get(host);
+            Line line = of == null ? null : of.pollFirst();
+            if (line == null || line.usedAt >= oldest) {
+                return line;
+            }
+            of.addFirst(line);
+        }
+        // The newest is too old, so all are.
+        closeIdle(host);
+        return null;
+    }
+
+    private void giveBack(Host host, Line line) {
+        synchronized (idle) {
+            if (host.state == Host.State.READY) {
+                idle.computeIfAbsent(host, h -> new ArrayDeque<>()).addFirst(line);
+                return;
+            }
+        }
+        close(line);
+    }
+
+    private void close(Line line) {
+        line.close();
+        open.decrementAndGet();
+    }
+}
--- a/src/test/java/beaconladder/Script.java
+++ b/src/test/java/beaconladder/Script.java
@@ -47,6 +47,7 @@
             start.put("request_classes." + i + ".dedup_scope", "cell");
             start.put("request_classes." + i + ".late_share", i < 4 ? "0" : "0.5");
         }
+        start.put("round_us", "5000");
         start.put("fees.probe", "0.05");
         start.put("limits.max_attempts", "6");
         start.put("limits.second_copies", "true");
@@ -94,7 +95,8 @@
     }
 
     Script ask(int id, int type, long sinceWriteMillis, long budgetMillis) {
-        Txn txn = new Txn(id, logic.type(type), group, 9, sinceWriteMillis * MS, 0, false, now,
+        Txn txn = new Txn(id, logic.type(type), group, 9,
+                sinceWriteMillis > 0 ? now - sinceWriteMillis * MS : Long.MIN_VALUE, 0, false, now,
                 now + budgetMillis * MS, id);
         txns.put(id, txn);
         say("ask " + id + " " + txn.type.read().name().toLowerCase(java.util.Locale.ROOT));
