--- a/src/main/java/beaconladder/pg/Inbox.java
+++ b/src/main/java/beaconladder/pg/Inbox.java
@@ -128,6 +128,15 @@
         return new String(buffer, place, zero - place, StandardCharsets.UTF_8);
     }
 
+    /** Where the text that starts here has ended, its zero byte included. */
+    public int after(int place) {
+        int zero = place;
+        while (zero < end && buffer[zero] != 0) {
+            zero++;
+        }
+        return Math.min(end, zero + 1);
+    }
+
     /** The current message as it came, type and length included. */
     public void copyTo(Outbox out) {
         out.raw(buffer, from, end - from);
@@ -136,14 +145,10 @@
     /** A field of the current ErrorResponse, or null. */
     public String errorField(char name) {
         for (int i = at; i < end && buffer[i] != 0;) {
-            String value = text(i + 1);
             if (buffer[i] == name) {
-                return value;
-            }
-            while (i < end && buffer[i] != 0) {
-                i++;
+                return text(i + 1);
             }
-            i++;
+            i = after(i);
         }
         return null;
     }
--- a/src/main/java/beaconladder/roster/Watch.java
+++ b/src/main/java/beaconladder/roster/Watch.java
@@ -16,9 +16,9 @@
     private static final int WAIT_MILLIS = 20_000;
     /** An answer is due at the end of the wait; after two seconds more the call is given up. */
     private static final int LATE_MILLIS = 2_000;
-    /** Soon enough for the watch to count as kept, up to a second while discovery is away. */
+    /** Soon enough for the watch to count as kept, up to half a second while discovery is away. */
     private static final int FIRST_RETRY_MILLIS = 50;
-    private static final int LAST_RETRY_MILLIS = 1_000;
+    private static final int LAST_RETRY_MILLIS = 500;
 
     /** One host as discovery lists it. */
     public record Entry(String id, InetSocketAddress address, String zone, int group, State state,
@@ -36,6 +36,7 @@
     private final InetSocketAddress discovery;
     private final Listener listener;
     private long version = -1;
+    private volatile boolean answered;
     private volatile boolean stopped;
 
     public Watch(InetSocketAddress discovery, Listener listener) {
@@ -64,6 +65,11 @@
         http.close();
     }
 
+    /** Whether discovery has answered yet. */
+    public boolean answered() {
+        return answered;
+    }
+
     public void stop() {
         stopped = true;
     }
@@ -91,6 +97,7 @@
             listener.listed(whole, entries);
         }
         version = number.longValue();
+        answered = true;
     }
 
     /** The entries of a list; one that can't be read makes the whole of it void. */
--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -8,10 +8,11 @@
 import beaconladder.pg.Outbox;
 import beaconladder.pg.Statement;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.Socket;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import org.slf4j.Logger;
@@ -26,8 +27,8 @@
     private static final int GSSENC = 80877104;
     /** So many queries written ahead are read; further ones wait in the socket. */
     private static final int AHEAD = 64;
-    /** What a client still sends after its end was told is read so long, so that the message reaches it. */
-    private static final int LINGER_MILLIS = 500;
+    /** What a client still sends after its end was told is read so long; loopback and networks need far less. */
+    static final long LINGER = 500_000_000L;
 
     /** A piece of work for the task: a query to answer, or, without one, messages to write. */
     private record Work(String query, long arrived, Outbox messages, boolean last) {
@@ -43,6 +44,8 @@
     private Hand hand;
     /** When it last did something, on System.nanoTime's clock. */
     private volatile long usedAt = System.nanoTime();
+    /** When its end was told, or 0. */
+    private volatile long endedAt;
 
     Client(Clients clients, Desk desk, Lines lines, Socket socket) {
         this.clients = clients;
@@ -62,10 +65,9 @@
         try {
             socket.setTcpNoDelay(true);
             Inbox in = new Inbox(socket);
-            if (greet(in)) {
-                read(in);
+            if (!greet(in) || !read(in)) {
+                linger();
             }
-            linger();
         } catch (IOException e) {
             LOG.debug("a client's connection broke: {}", e.toString());
         } catch (RuntimeException | Error e) {
@@ -75,7 +77,7 @@
         }
     }
 
-    /** The opening; false when nothing is to follow. */
+    /** The opening; false when the client is sent away. */
     private boolean greet(Inbox in) throws IOException {
         while (true) {
             Got got = in.opening(0);
@@ -83,20 +85,22 @@
                 return fatal("08P01", "a startup message of impossible length");
             }
             if (got != Got.MESSAGE || in.end() - in.at() < 4) {
-                return false;
+                return true;
             }
             int version = in.int32(in.at());
             if (version == SSL || version == GSSENC) {
                 socket.getOutputStream().write('N');
             } else if (version == CANCEL) {
-                return false;
+                close();
+                return true;
             } else if (version >> 16 != 3) {
                 return fatal("0A000", "protocol " + (version >> 16) + "." + (version & 0xffff)
                         + " is not spoken here, 3.0 is");
             } else {
                 Outbox out = new Outbox();
-                if (version != VERSION_3) {
-                    out.negotiateVersion();
+                String[] unknown = unknownOptions(in);
+                if (version != VERSION_3 || unknown.length > 0) {
+                    out.negotiateVersion(unknown);
                 }
                 if (clients.full()) {
                     return fatal("53300", "too many connections");
@@ -109,22 +113,29 @@
         }
     }
 
-    private void read(Inbox in) throws IOException {
+    /** The options of the protocol that the client asks for; none is known here. */
+    private static String[] unknownOptions(Inbox in) {
+        List<String> unknown = new ArrayList<>();
+        for (int at = in.at() + 4; at < in.end() && in.int8(at) != 0;) {
+            String name = in.text(at);
+            if (name.startsWith("_pq_.")) {
+                unknown.add(name);
+            }
+            at = in.after(in.after(at));
+        }
+        return unknown.toArray(String[]::new);
+    }
+
+    /** Reads frames until the client leaves; false when it is sent away. */
+    private boolean read(Inbox in) throws IOException {
         boolean skipping = false;
         while (true) {
             Got got = in.next(0);
-            if (got == Got.MALFORMED) {
-                add(new Work(null, 0, new Outbox().error("FATAL", "08P01",
-                        "a message of impossible length", null), true));
-                return;
-            }
-            if (got == Got.CUT) {
-                add(new Work(null, 0, new Outbox().error("FATAL", "08P01", "a message that is cut off", null),
-                        true));
-                return;
+            if (got == Got.MALFORMED || got == Got.CUT) {
+                return sendAway(got == Got.CUT ? "a message that is cut off" : "a message of impossible length");
             }
             if (got != Got.MESSAGE) {
-                return;
+                return true;
             }
             usedAt = System.nanoTime();
             switch (in.type()) {
@@ -134,7 +145,7 @@
                     }
                 }
                 case 'X' -> {
-                    return;
+                    return true;
                 }
                 case 'P', 'B', 'D', 'E', 'C', 'F', 'H', 'd', 'c', 'f' -> {
                     if (!skipping) {
@@ -148,22 +159,21 @@
                     add(new Work(null, 0, new Outbox().ready(), false));
                 }
                 default -> {
-                    add(new Work(null, 0, new Outbox().error("FATAL", "08P01",
-                            "a message of an unknown type", null), true));
-                    return;
+                    return sendAway("a message of an unknown type");
                 }
             }
         }
     }
 
+    private boolean sendAway(String cause) throws IOException {
+        add(new Work(null, 0, new Outbox().error("FATAL", "08P01", cause, null), true));
+        return false;
+    }
+
     private void add(Work next) throws IOException {
         synchronized (this) {
             while (work.size() >= AHEAD && !over) {
-                try {
-                    wait();
-                } catch (InterruptedException e) {
-                    throw new IOException("interrupted", e);
-                }
+                pause();
             }
             work.add(next);
             if (busy || over) {
@@ -174,23 +184,28 @@
         clients.execute(this::serve);
     }
 
-    /** Reads on for a while if the end was told, so that the message is not lost by a reset. */
+    /** Once the end has been told, reads on for a while, so that the message is not lost by a reset. */
     private void linger() throws IOException {
         synchronized (this) {
-            if (!busy && !socket.isOutputShutdown()) {
-                return;
+            while (busy && !socket.isOutputShutdown()) {
+                pause();
             }
         }
-        long until = System.nanoTime() + LINGER_MILLIS * 1_000_000L;
+        long until = System.nanoTime() + LINGER;
         byte[] waste = new byte[512];
-        InputStream in = socket.getInputStream();
-        long left = until - System.nanoTime();
-        while (left > 0 && !socket.isClosed()) {
-            socket.setSoTimeout((int) Math.max(1, left / 1_000_000));
-            if (in.read(waste) < 0) {
+        for (long left = LINGER; left > 0; left = until - System.nanoTime()) {
+            socket.setSoTimeout((int) (left / 1_000_000) + 1);
+            if (socket.getInputStream().read(waste) < 0) {
                 return;
             }
-            left = until - System.nanoTime();
+        }
+    }
+
+    private void pause() throws IOException {
+        try {
+            wait();
+        } catch (InterruptedException e) {
+            throw new IOException("interrupted", e);
         }
     }
 
@@ -223,12 +238,25 @@
         }
     }
 
+    /** Whether its client has been told to go. */
+    boolean ending() {
+        return endedAt != 0;
+    }
+
+    /** Closes what its client has not closed some time after its end. */
+    void sweep(long now) {
+        if (endedAt != 0 && now - endedAt > LINGER) {
+            close();
+        }
+    }
+
     /** Ends the connection if nothing is in hand on it; the client sees its end. */
     synchronized boolean closeIfIdle() {
         if (busy || !work.isEmpty() || over) {
             return false;
         }
         over = true;
+        endedAt = System.nanoTime();
         try {
             socket.shutdownOutput();
         } catch (IOException e) {
--- a/src/main/java/beaconladder/serve/Clients.java
+++ b/src/main/java/beaconladder/serve/Clients.java
@@ -17,6 +17,8 @@
     /** Descriptors for the program itself (about 20), the watch, and clients that are only told to go. */
     private static final int RESERVE = 64;
     private static final int BACKLOG = 1024;
+    /** Who was busy so lately may have a query on its way. */
+    private static final long LATELY = 100_000_000;
 
     private final Desk desk;
     private final Lines lines;
@@ -50,7 +52,13 @@
                 }
                 Client client = new Client(this, desk, lines, socket);
                 all.add(client);
-                threads.execute(client);
+                try {
+                    threads.execute(client);
+                } catch (RuntimeException | Error e) {
+                    all.remove(client);
+                    client.close();
+                    throw e;
+                }
             } catch (IOException | RuntimeException | Error e) {
                 if (!closed) {
                     LOG.error("taking clients in goes on after a fault", e);
@@ -64,7 +72,9 @@
     /** Connections that lie idle go first: to hosts, then of clients. */
     private void makeRoom() {
         if (!lines.closeOldest()) {
-            all.stream().sorted(Comparator.comparingLong(Client::usedAt)).filter(Client::closeIfIdle).findFirst();
+            long lately = System.nanoTime() - LATELY;
+            all.stream().filter(client -> client.usedAt() < lately)
+                    .sorted(Comparator.comparingLong(Client::usedAt)).filter(Client::closeIfIdle).findFirst();
         }
     }
 
@@ -78,7 +88,15 @@
 
     /** Whether a client that has just come can't be kept. */
     boolean full() {
-        return all.size() + lines.open() > most;
+        int held = all.size() + lines.open();
+        // Those who have been told to go still hold theirs for a moment, out of half of the reserve.
+        return held > most + RESERVE / 2
+                || held > most && held - all.stream().filter(Client::ending).count() > most;
+    }
+
+    void sweep() {
+        long now = System.nanoTime();
+        all.forEach(client -> client.sweep(now));
     }
 
     int count() {
--- a/src/main/java/beaconladder/serve/Desk.java
+++ b/src/main/java/beaconladder/serve/Desk.java
@@ -34,7 +34,7 @@
 final class Desk implements Rounds.Door, Watch.Listener, Runnable {
     private static final Logger LOG = LoggerFactory.getLogger(Desk.class);
     /** The timer rests at least so long between two looks, so that it can't spin. */
-    private static final long SHORTEST_REST = 1_000_000;
+    private static final long SHORTEST_REST_MILLIS = 1;
 
     /** Does on sockets what the rounds ask for beside the txns. */
     interface Errands {
@@ -234,18 +234,9 @@
     public void run() {
         while (!stopped) {
             try {
-                lock.lock();
-                try {
-                    long left = until - now();
-                    if (left > 0) {
-                        sooner.awaitNanos(Math.max(SHORTEST_REST, left));
-                    }
-                } finally {
-                    lock.unlock();
-                }
-                if (until <= now()) {
+                if (due()) {
                     tell(now -> { });
-                    Thread.sleep(0, (int) Math.min(999_999, SHORTEST_REST - 1));
+                    Thread.sleep(SHORTEST_REST_MILLIS);
                 }
             } catch (InterruptedException e) {
                 stopped = true;
@@ -255,6 +246,19 @@
         }
     }
 
+    private boolean due() throws InterruptedException {
+        lock.lock();
+        try {
+            long left = until - now();
+            if (left > 0) {
+                sooner.awaitNanos(left);
+            }
+            return until <= now();
+        } finally {
+            lock.unlock();
+        }
+    }
+
     void stop() {
         stopped = true;
     }
--- a/src/main/java/beaconladder/serve/Line.java
+++ b/src/main/java/beaconladder/serve/Line.java
@@ -15,6 +15,7 @@
 final class Line {
     private final SocketChannel channel;
     private Inbox in;
+    private boolean greeted;
     /** When it was last used, on System.nanoTime's clock. */
     long usedAt = System.nanoTime();
     final InetSocketAddress address;
@@ -41,6 +42,7 @@
                 }
                 switch (in.type()) {
                     case 'Z' -> {
+                        greeted = true;
                         return true;
                     }
                     case 'R' -> {
@@ -59,6 +61,11 @@
         }
     }
 
+    /** Whether the host has taken this connection. */
+    boolean greeted() {
+        return greeted;
+    }
+
     /** Whether a connection that lay idle is still of use: open, with nothing unasked in it. */
     boolean alive() {
         try {
@@ -97,7 +104,7 @@
             switch (in.type()) {
                 case 'S' -> {
                     String name = in.text(in.at());
-                    String value = in.text(Math.min(in.end(), in.at() + name.length() + 1));
+                    String value = in.text(in.after(in.at()));
                     switch (name) {
                         case "node_role" -> role = value.equals("leader") ? Role.PRIMARY
                                 : value.equals("follower") ? Role.REPLICA : Role.UNKNOWN;
--- a/src/main/java/beaconladder/serve/Lines.java
+++ b/src/main/java/beaconladder/serve/Lines.java
@@ -66,15 +66,16 @@
             Ending ending = Ending.early(Reach.NOT_CONNECTED);
             boolean moot = false;
             try {
-                if (connect()) {
-                    moot = submission != null && !desk.stands(submission);
-                    if (!moot) {
-                        ending = line.exchange(Outbox.query(text()), until);
-                    }
+                boolean connected = connect();
+                // Where its own time ran out on the way, nothing speaks against the host.
+                moot = submission != null && (connected ? !desk.stands(submission)
+                        : System.nanoTime() >= until);
+                if (connected && !moot) {
+                    ending = line.exchange(Outbox.query(text()), until);
                 }
             } finally {
                 calls.remove(this);
-                boolean calledOff = finish(moot || ending.reusable());
+                boolean calledOff = finish(line != null && (moot ? line.greeted() : ending.reusable()));
                 if (submission == null) {
                     Outcome outcome = ending.outcome();
                     Word report = probeReports && ending.row()
--- a/src/main/java/beaconladder/serve/Serve.java
+++ b/src/main/java/beaconladder/serve/Serve.java
@@ -21,6 +21,8 @@
     private static final int SWEEP_MILLIS = 100;
     /** Those who hand out connections learn of an end so much later at the most. */
     private static final int NOTICE_MILLIS = 700;
+    /** Discovery's agent answers within milliseconds, or it is away. */
+    private static final int DISCOVERY_MILLIS = 500;
     /** Time for answers that lie in sockets to reach their clients before the program ends. */
     private static final int LAST_MILLIS = 100;
 
@@ -35,6 +37,8 @@
     private final Lines lines;
     private final Clients clients;
     private final Watch watch;
+    /** The longest that a txn can be in hand, and its connection after it. */
+    private final long longestNanos;
     private volatile boolean stopped;
 
     /**
@@ -63,13 +67,20 @@
         if (stated.get("known") instanceof Map<?, ?> known) {
             desk.listed(true, Watch.entries(known));
         }
-        clients.listen(listen);
+        long expiry = 0;
+        for (int i = 0; start.containsKey("request_classes." + i + ".give_up_us"); i++) {
+            expiry = Math.max(expiry, Long.parseLong(start.get("request_classes." + i + ".give_up_us")));
+        }
+        longestNanos = expiry * 1_000 + Client.LINGER;
         factory.newThread(desk).start();
         factory.newThread(watch).start();
         factory.newThread(this::sweep).start();
-        while (!desk.knowsHosts()) {
+        // What was known may be out of date: discovery has a while to tell better.
+        long patient = System.nanoTime() + DISCOVERY_MILLIS * 1_000_000L;
+        while (!desk.knowsHosts() || !watch.answered() && System.nanoTime() < patient) {
             Thread.sleep(5);
         }
+        clients.listen(listen);
         factory.newThread(clients).start();
         LOG.info("{} serves at {}", stated.get("name"), listen);
     }
@@ -87,6 +98,7 @@
             try {
                 Thread.sleep(SWEEP_MILLIS);
                 lines.sweep();
+                clients.sweep();
             } catch (InterruptedException e) {
                 return;
             } catch (RuntimeException | Error e) {
@@ -100,7 +112,8 @@
         LOG.info("draining with {} clients and {} connections to hosts", clients.count(), lines.open());
         Thread.sleep(NOTICE_MILLIS);
         clients.drain();
-        while (clients.count() > 0) {
+        long until = System.nanoTime() + longestNanos;
+        while (clients.count() > 0 && System.nanoTime() < until) {
             Thread.sleep(5);
         }
         Thread.sleep(LAST_MILLIS);
--- a/src/test/java/beaconladder/LogicTest.java
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -425,4 +425,40 @@
                 2200   decline 9
                 """);
     }
+
+    /** Connecting takes time, and what held at the verdict may not hold when the bytes could go. */
+    @Test
+    void aSubmissionStandsOnlyAsLongAsItsReasonsDo() {
+        StringBuilder all = new StringBuilder();
+        all.append(Script.warm().tick(400).ask(1, BOUNDED, 0, 2000).tick(499).stands(1).tick(501)
+                .stands(1).trace());
+        all.append(Script.warm().ask(1, ANY, 0, 2000).ask(2, WRITE, 0, 900).tick(100).stands(1).stands(2)
+                .list("a", false, Host.State.DRAINING, 0).list("b", false, Host.State.DRAINING, 0)
+                .list("c", false, Host.State.GONE, 0).stands(1).stands(2).trace());
+        all.append(Script.warm().ask(1, WRITE, 0, 900).tick(20).probed("b", Role.PRIMARY, 20).stands(1).trace());
+        all.append(Script.warm().ask(1, ANY, 0, 900).left(1).stands(1).trace());
+        assertThat(all.toString()).isEqualTo("""
+                400 ask 1 bounded
+                400   send 1 to c
+                499 stands 1@c true
+                501 stands 1@c false
+                0 ask 1 any
+                0   send 1 to c
+                0 ask 2 write
+                0   send 2 to a
+                100 stands 1@c true
+                100 stands 2@a true
+                100 stands 1@c false
+                100 stands 2@a false
+                0 ask 1 write
+                0   send 1 to a
+                20 stands 1@a false
+                0 ask 1 any
+                0   send 1 to c
+                0 left 1
+                0   cancel 1@c
+                0   done 1
+                0 stands 1@c false
+                """);
+    }
 }
--- a/src/test/java/beaconladder/Script.java
+++ b/src/test/java/beaconladder/Script.java
@@ -163,6 +163,13 @@
         return this;
     }
 
+    /** The newest submission of this txn has its connection: whether it still stands. */
+    Script stands(int id) {
+        Submission s = txns.get(id).submissions.get(txns.get(id).submissions.size() - 1);
+        say("stands " + id + "@" + (char) s.host.id + " " + logic.stands(s, now));
+        return this;
+    }
+
     /** Forgets the trace so far. */
     Script quiet() {
         trace.setLength(0);
--- /dev/null
+++ b/src/test/java/beaconladder/serve/PartsTest.java
@@ -0,0 +1,149 @@
+package beaconladder.serve;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beaconladder.api.Router.Word;
+import beaconladder.pg.Statement;
+import beaconladder.roster.Json;
+import beaconladder.roster.Watch;
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/** The parsers at the door: figures stay exact, and what can't be read is said so. */
+class PartsTest {
+
+    /** One object of settings, in the form of the sockets and in the drill's. */
+    @Test
+    void nestedSettingsBecomeTheDrillsFlatLines() throws Exception {
+        Map<String, String> flat = new LinkedHashMap<>();
+        Json.flatten("", Json.read("""
+                {"clients":{"marks_retry":true},"family_info":{"freshness":["recent","update"],
+                 "notes":"position in ms, plus 1","position_zero_us":281993321636},"fees":{"probe":0.069,"waste":0.0},
+                 "kinds":["std-3c"],"request_classes":[{"effect":"pure","give_up_us":2000000,"name":"cab-board",
+                 "points":1.0,"stream":false},{"effect":"side_effect","name":"trip\\u002dbook","points":3.0}],
+                 "my_number":0,"nothing":null,"empty":[]}"""), flat);
+        Map<String, String> drill = new TreeMap<>();
+        """
+                clients.marks_retry=true
+                empty=
+                family_info.freshness=recent,update
+                family_info.notes=position_in_ms__plus_1
+                family_info.position_zero_us=281993321636
+                fees.probe=0.069
+                fees.waste=0.0
+                kinds=std-3c
+                my_number=0
+                request_classes.count=2
+                request_classes.0.effect=pure
+                request_classes.0.give_up_us=2000000
+                request_classes.0.name=cab-board
+                request_classes.0.points=1.0
+                request_classes.0.stream=false
+                request_classes.1.effect=side_effect
+                request_classes.1.name=trip-book
+                request_classes.1.points=3.0
+                """.lines().forEach(line -> drill.put(line.split("=")[0], line.substring(line.indexOf('=') + 1)));
+        assertThat(new TreeMap<>(flat)).isEqualTo(drill);
+    }
+
+    @Test
+    void positionsStayExactAndAreRoundedDownOnly() {
+        StringBuilder trace = new StringBuilder();
+        for (String position : new String[] {"1767225600123", "1767225600123.9999999", "0", "-3", "1e30", "x", ""}) {
+            long nanos = Ending.nanos(position, 6);
+            trace.append(position).append(" ms: ").append(nanos == Word.NONE ? "none" : nanos).append('\n');
+        }
+        for (String load : new String[] {"x0=1767225600.123456789,x1=1,inflight=7", "x0=1767225600.1239999999,x1=0",
+            "inflight=7,util=0.61", "rif=2.5", "x0=NaN,x1=none,inflight=-1", "inflight=1e9", "nonsense", ""}) {
+            Word word = Ending.report(load);
+            trace.append(load).append(": ").append(word.role()).append(' ')
+                    .append(word.position() == Word.NONE ? "none" : word.position()).append(' ')
+                    .append(word.holds()).append('\n');
+        }
+        assertThat(trace.toString()).isEqualTo("""
+                1767225600123 ms: 1767225600123000000
+                1767225600123.9999999 ms: 1767225600123999999
+                0 ms: none
+                -3 ms: none
+                1e30 ms: none
+                x ms: none
+                 ms: none
+                x0=1767225600.123456789,x1=1,inflight=7: PRIMARY 1767225600123456789 7.0
+                x0=1767225600.1239999999,x1=0: REPLICA 1767225600123999999 -1.0
+                inflight=7,util=0.61: UNKNOWN none 7.0
+                rif=2.5: UNKNOWN none 2.5
+                x0=NaN,x1=none,inflight=-1: UNKNOWN none -1.0
+                inflight=1e9: UNKNOWN none -1.0
+                nonsense: UNKNOWN none -1.0
+                : UNKNOWN none -1.0
+                """);
+    }
+
+    @Test
+    void onlyTheTimeToWaitChangesInAStatementThatIsPassedOn() {
+        String text = "SELECT doc FROM items WHERE id = 'it/*d=1,*/' /* id=9,c=x , d=480,cluster=2,after=5,k=z */ ";
+        Statement statement = Statement.read(text);
+        assertThat(statement.fault()).isNull();
+        assertThat(statement.value("id") + statement.value("c") + statement.value("k")).isEqualTo("9xz");
+        assertThat(statement.waiting(7)).isEqualTo(text.replace(" d=480,", " d=7,"));
+        assertThat(Statement.read(text.replace("9,c", "8,c")).session()).isEqualTo(statement.session());
+        assertThat(Statement.read(text.replace("it", "is")).session()).isNotEqualTo(statement.session());
+    }
+
+    @Test
+    void badJsonIsNamedWithItsPlace() {
+        StringBuilder trace = new StringBuilder();
+        for (String text : new String[] {"", "{", "{\"a\" 1}", "[1,]", "[1", "tru", "\"a", "\"\\x\"", "1e999999999",
+            "01x", "{} {}", "[".repeat(100_000), "\"\\u00zz\""}) {
+            try {
+                trace.append(Json.read(text)).append('\n');
+            } catch (Json.Fault e) {
+                trace.append(e.getMessage().substring("bad JSON at character ".length())).append('\n');
+            }
+        }
+        assertThat(trace.toString()).isEqualTo("""
+                0: the text ends where a value belongs
+                1: a name in quotes belongs here
+                5: ':' belongs here
+                3: no value
+                2: ',' belongs here
+                0: no value
+                2: a text that does not end
+                3: an unknown escape
+                0: a number out of range
+                2: more after the value
+                3: more after the value
+                65: nested too deep
+                3: no character code
+                """);
+    }
+
+    @Test
+    void anEntryThatCannotBeReadMakesTheListVoid() throws Exception {
+        StringBuilder trace = new StringBuilder();
+        String good = "{\"id\":\"s-1\",\"addr\":\"10.1.0.18:5432\",\"zone\":\"a\",\"cell\":3,\"state\":\"Ready\","
+                + "\"started_ms\":1767225600123,\"role\":\"leader\"}";
+        for (String entry : new String[] {good, good.replace("Ready", "Gone").replace("10.1.0.18:5432", ""),
+            good.replace("Ready", "Sleeping"), good.replace("10.1.0.18", "db.internal"),
+            good.replace(":5432", ":99999"), good.replace("\"cell\":3", "\"cell\":\"x\""), "7"}) {
+            try {
+                trace.append(Watch.entries((Map<?, ?>) Json.read("{\"servers\":[" + entry + "]}"))).append('\n');
+            } catch (IOException e) {
+                trace.append(e.getMessage()).append('\n');
+            }
+        }
+        assertThat(trace.toString().replace("Entry", "")).isEqualTo("""
+                [[id=s-1, address=/10.1.0.18:5432, zone=a, group=3, state=READY, leader=true, \
+                launchedMillis=1767225600123]]
+                [[id=s-1, address=null, zone=a, group=3, state=GONE, leader=true, launchedMillis=1767225600123]]
+                an unknown state Sleeping
+                no address of s-1
+                no address of s-1
+                an entry without id or group
+                an entry without id or group
+                """);
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconladder/serve/ServeIT.java
@@ -0,0 +1,920 @@
+package beaconladder.serve;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beaconladder.pg.Outbox;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Starts the packaged program as operators do and talks to it over sockets, with stand-ins on its other sides. */
+@Timeout(60)
+class ServeIT {
+    private static final String READ = "SELECT doc FROM items WHERE id = 'k' /* id=%s,c=any,t=acme,d=%d,cluster=1 */";
+    private static final String WRITE =
+            "INSERT INTO items (id, doc) VALUES ('k', '\\x9f03') RETURNING doc /* id=%s,c=write,t=acme,d=%d,cluster=1 */";
+
+    @TempDir
+    Path folder;
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private final StringBuilder trace = new StringBuilder();
+    private int sockets = 1024;
+    private HostStandIn a;
+    private HostStandIn b;
+    private DiscoveryStandIn discovery;
+    private Program router;
+
+    @BeforeEach
+    void standIns() throws IOException {
+        a = keep(new HostStandIn("leader"));
+        b = keep(new HostStandIn("follower"));
+        discovery = keep(new DiscoveryStandIn());
+        discovery.list(true, a.entry("a", "Ready"), b.entry("b", "Ready"));
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+    }
+
+    // ---- What clients get ---------------------------------------------------------------------------------
+
+    @Test
+    void readsGoToTheReplicaAndWritesToThePrimaryWithTheirTextUnchangedAndTheRowAsItCame() throws Exception {
+        start();
+        Caller c = caller();
+        say(c.ask(read("r1", 1500)), c.ask(write("w1", 1500)), c.ask("SET x = 1"), c.ask(""), c.ask("reset all"));
+        say("a " + a.queries(), "b " + b.queries());
+        assertThat(trace.toString().replaceAll("d=1[34]\\d\\d", "d=less")).isEqualTo("""
+                T D:00ff27 C:SELECT 1 Z
+                T D:00ff27 C:SELECT 1 Z
+                C:SET Z
+                I Z
+                C:RESET Z
+                a [INSERT INTO items (id, doc) VALUES ('k', '\\x9f03') RETURNING doc \
+                /* id=w1,c=write,t=acme,d=less,cluster=1 */]
+                b [SELECT doc FROM items WHERE id = 'k' /* id=r1,c=any,t=acme,d=less,cluster=1 */]
+                """);
+    }
+
+    @Test
+    void queriesWrittenAheadAreAnsweredInTheirOrderAndTheFirstMayComeWithTheStartup() throws Exception {
+        start();
+        Socket socket = keep(new Socket(InetAddress.getLoopbackAddress(), router.port));
+        b.delayMillis = 100;
+        Outbox all = Outbox.startup("app", "shop").append(Outbox.query(read("r1", 2000)))
+                .append(Outbox.query("")).append(Outbox.query(read("r2", 2000))).append(Outbox.query("DISCARD ALL"));
+        all.writeTo(socket.getOutputStream());
+        Caller c = new Caller(socket);
+        say(c.answer(), c.answer(), c.answer(), c.answer(), c.answer());
+        assertThat(trace.toString()).isEqualTo("""
+                R S S S S K Z
+                T D:00ff27 C:SELECT 1 Z
+                I Z
+                T D:00ff27 C:SELECT 1 Z
+                C:DISCARD Z
+                """);
+    }
+
+    /** Each row of the table of outcomes, for a txn that may run once and for one that may run again. */
+    @Test
+    void everyOutcomeOfAHostIsToldApart() throws Exception {
+        start();
+        Caller c = caller();
+        for (Manner manner : List.of(Manner.MISS, Manner.BEHIND, Manner.ERROR, Manner.FULL, Manner.RESET,
+                Manner.CUT, Manner.GARBAGE, Manner.TWO_ROWS, Manner.HUGE, Manner.UNKNOWN, Manner.SILENT)) {
+            a.manner = manner;
+            b.manner = manner;
+            int before = a.queries.size() + b.queries.size();
+            String once = c.ask(write("w", 600));
+            int sent = a.queries.size() + b.queries.size() - before;
+            a.manner = Manner.ANSWER;
+            b.manner = Manner.ANSWER;
+            say(manner + ": " + once + (once.contains("40003") && sent > 1 ? " SENT AGAIN" : ""));
+            // What was held against the host is settled before the next.
+            await(() -> ask(c, write("again", 2000)).contains("C:SELECT 1"));
+        }
+        assertThat(trace.toString()).isEqualTo("""
+                MISS: E:53300 Z
+                BEHIND: E:53300 Z
+                ERROR: E:40003 Z
+                FULL: E:53300 Z
+                RESET: E:40003 Z
+                CUT: E:40003 Z
+                GARBAGE: E:40003 Z
+                TWO_ROWS: E:40003 Z
+                HUGE: E:40003 Z
+                UNKNOWN: E:40003 Z
+                SILENT: E:40003 Z
+                """);
+    }
+
+    @Test
+    void whatCannotBeReadIsRefusedByNameAndNoHostSeesIt() throws Exception {
+        start();
+        Caller c = caller();
+        String tail = "t=acme,d=480,cluster=1 */";
+        for (String q : List.of("SELECT 1", "SELECT /* id=1", "SELECT /* nonsense */", "SELECT /* c=any," + tail,
+                "SELECT /* id=1,c=nosuch," + tail, "SELECT /* id=1," + tail, "SELECT /* id=1,c=any,cluster=1 */",
+                "SELECT /* id=1,c=any,d=0,cluster=1 */", "SELECT /* id=1,c=any,d=-5,cluster=1 */",
+                "SELECT /* id=1,c=any,d=x,cluster=1 */", "SELECT /* id=1,c=any,d=9,cluster=77 */",
+                "SELECT /* id=1,c=any,d=9 */", "SELECT /* id=1,c=own,after=soon," + tail)) {
+            say(c.ask(q) + " " + c.message);
+        }
+        say(c.ask(read("r1", 1500)), a.queries() + " " + b.queries.size());
+        assertThat(trace.toString()).isEqualTo("""
+                E:42601 Z the statement has no comment with id, c, d and cluster
+                E:42601 Z the comment is not closed
+                E:42601 Z the comment holds 'nonsense' where a name and its value belong
+                E:42601 Z the comment lacks id
+                E:22023 Z the comment has an impossible c
+                E:42601 Z the comment lacks c
+                E:42601 Z the comment lacks d
+                E:22023 Z the comment has an impossible d
+                E:22023 Z the comment has an impossible d
+                E:22023 Z the comment has an impossible d
+                E:22023 Z the comment has an impossible cluster
+                E:42601 Z the comment lacks cluster
+                E:22023 Z the comment has an impossible after
+                T D:00ff27 C:SELECT 1 Z
+                [] 1
+                """);
+    }
+
+    @Test
+    void otherOpeningsAndFramesGetWhatTheProtocolGives() throws Exception {
+        start();
+        Outbox parse = new Outbox().raw(new byte[] {'P', 0, 0, 0, 8, 0, 0, 0, 0, 'B', 0, 0, 0, 4, 'd', 0, 0, 0, 4,
+            'S', 0, 0, 0, 4}, 0, 24);
+        Caller c = caller();
+        parse.writeTo(c.out);
+        say("extended " + c.answer() + ", then " + c.ask(""));
+        for (String hex : List.of("00000008 04d2162f", "00000008 04d21630", "00000010 04d2162e 00000001 00000002",
+                "00000008 00020000", "00000003", "7fffffff 00030000",
+                "00000010 00030002 5f70715f 2e780000", "0000000900030000 00 51 7fffffff", "0000000900030000 00 51 00000003",
+                "0000000900030000 00 7a 00000004", "0000000900030000 00 58 00000004")) {
+            Socket socket = keep(new Socket(InetAddress.getLoopbackAddress(), router.port));
+            Caller raw = new Caller(socket);
+            raw.out.write(java.util.HexFormat.of().parseHex(hex.replace(" ", "")));
+            socket.shutdownOutput();
+            say(hex + " -> " + raw.rest());
+        }
+        assertThat(trace.toString()).isEqualTo("""
+                extended E:0A000 Z, then I Z
+                00000008 04d2162f -> N closed
+                00000008 04d21630 -> N closed
+                00000010 04d2162e 00000001 00000002 -> closed
+                00000008 00020000 -> E:0A000 closed
+                00000003 -> E:08P01 closed
+                7fffffff 00030000 -> E:08P01 closed
+                00000010 00030002 5f70715f 2e780000 -> v R S S S S K Z closed
+                0000000900030000 00 51 7fffffff -> R S S S S K Z E:08P01 closed
+                0000000900030000 00 51 00000003 -> R S S S S K Z E:08P01 closed
+                0000000900030000 00 7a 00000004 -> R S S S S K Z E:08P01 closed
+                0000000900030000 00 58 00000004 -> R S S S S K Z closed
+                """);
+    }
+
+    // ---- Connections to hosts -----------------------------------------------------------------------------
+
+    @Test
+    void aConnectionThatItsHostClosedIsNotUsedAndOnceOnlyTxnsAreNotLostToIt() throws Exception {
+        start();
+        Caller c = caller();
+        a.closesAfterAnswer = true;
+        for (int i = 0; i < 5; i++) {
+            say(c.ask(write("w" + i, 1500)));
+            TimeUnit.MILLISECONDS.sleep(30);
+        }
+        assertThat(trace.toString()).isEqualTo("T D:00ff27 C:SELECT 1 Z\n".repeat(5));
+    }
+
+    @Test
+    void aLateAnswerIsNeverTakenForTheNextTxn() throws Exception {
+        start();
+        Caller c = caller();
+        ask(c, read("warm", 2000));
+        a.delayMillis = 300;
+        b.delayMillis = 300;
+        say(c.ask(read("slow", 150)));
+        b.value = new byte[] {7};
+        a.value = new byte[] {7};
+        a.delayMillis = 0;
+        b.delayMillis = 0;
+        TimeUnit.MILLISECONDS.sleep(400);
+        say(c.ask(read("next", 2000)));
+        assertThat(trace.toString()).isEqualTo("E:53300 Z\nT D:07 C:SELECT 1 Z\n");
+    }
+
+    @Test
+    void aClientThatLeavesHasItsSubmissionCalledOffAndNothingIsSentForItAfterwards() throws Exception {
+        start();
+        b.manner = Manner.SILENT;
+        Caller c = caller();
+        Outbox.query(read("left", 2000)).writeTo(c.out);
+        await(() -> b.queries.size() == 1);
+        int before = b.closed.get();
+        c.close();
+        await(() -> b.closed.get() > before);
+        // While a connection is being made, the client leaves: nothing is sent on it.
+        b.manner = Manner.ANSWER;
+        Caller next = caller();
+        ask(next, read("warm", 2000));
+        a.closesAfterAnswer = true;
+        await(() -> ask(next, write("shut", 2000)).contains("C:SELECT 1"));
+        a.greetMillis = 150;
+        int writes = a.queries.size();
+        Caller leaves = caller();
+        Outbox.query(write("never", 2000)).writeTo(leaves.out);
+        TimeUnit.MILLISECONDS.sleep(50);
+        leaves.close();
+        TimeUnit.MILLISECONDS.sleep(400);
+        assertThat(a.queries()).hasSize(writes).noneMatch(q -> q.contains("id=never"));
+    }
+
+    @Test
+    void aBoundThatRanOutWhileConnectingSendsNothing() throws Exception {
+        start();
+        Caller c = caller();
+        ask(c, read("warm", 2000));
+        ask(c, write("warm", 2000));
+        // The replica stands still, and its connection has to be made anew, slowly.
+        b.closesAfterAnswer = true;
+        b.stoppedAt = System.currentTimeMillis();
+        ask(c, read("warm", 2000));
+        b.greetMillis = 200;
+        TimeUnit.MILLISECONDS.sleep(350);
+        say(c.ask(read("late", 1500).replace("c=any", "c=fresh")));
+        assertThat(b.queries()).noneMatch(q -> q.contains("id=late"));
+        assertThat(a.queries()).anyMatch(q -> q.contains("id=late"));
+        assertThat(trace.toString()).isEqualTo("T D:00ff27 C:SELECT 1 Z\n");
+    }
+
+    @Test
+    void aSessionsReadWaitsForAReplicaThatHasItsWriteEvenOneCommittedThisVeryMillisecond() throws Exception {
+        start();
+        Caller c = caller();
+        ask(c, read("warm", 2000));
+        ask(c, write("warm", 2000));
+        b.stoppedAt = System.currentTimeMillis() - 50;
+        long after = System.currentTimeMillis() + 2;
+        Thread later = new Thread(() -> {
+            try {
+                TimeUnit.MILLISECONDS.sleep(150);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            b.stoppedAt = after;
+        });
+        later.start();
+        say(c.ask(read("own", 2000).replace("c=any", "c=own").replace(" */", ",after=" + after + " */")));
+        later.join();
+        assertThat(trace.toString()).isEqualTo("T D:00ff27 C:SELECT 1 Z\n");
+        assertThat(b.queries()).filteredOn(q -> q.contains("id=own")).hasSizeLessThanOrEqualTo(1);
+        assertThat(b.sawBefore("id=own", after)).isFalse();
+    }
+
+    @Test
+    void aHostThatVanishesCostsTimeOutsButNoThreadsOrDescriptors() throws Exception {
+        start();
+        Caller c = caller();
+        ask(c, read("warm", 2000));
+        int files = router.files();
+        int threads = router.threads();
+        b.vanish();
+        for (int i = 0; i < 12; i++) {
+            Caller each = caller();
+            Outbox.query(read("v" + i, 900)).writeTo(each.out);
+        }
+        for (AutoCloseable each : List.copyOf(open)) {
+            if (each instanceof Caller caller && caller != c) {
+                assertThat(caller.answer()).isIn("T D:00ff27 C:SELECT 1 Z", "E:53300 Z");
+                caller.close();
+            }
+        }
+        await(() -> router.files() <= files + 2);
+        // Threads of a finished use wait a minute for the next one.
+        assertThat(router.threads()).isLessThan(threads + 40);
+    }
+
+    @Test
+    void connectsAndClosesLeakNothing() throws Exception {
+        start();
+        for (int i = 0; i < 20; i++) {
+            ask(caller(), read("x", 2000));
+        }
+        closeCallers();
+        await(() -> router.files() < 60);
+        int files = router.files();
+        for (int i = 0; i < 300; i++) {
+            Caller c = caller();
+            if (i % 3 == 0) {
+                Outbox.query(read("x" + i, 2000)).writeTo(c.out);
+            } else if (i % 3 == 1) {
+                ask(c, read("x" + i, 2000));
+            }
+            c.close();
+        }
+        await(() -> router.files() <= files + 5);
+        assertThat(router.threads()).isLessThan(100);
+    }
+
+    @Test
+    void aSlowReaderHoldsUpNobodyElse() throws Exception {
+        start();
+        Caller slow = caller();
+        b.value = new byte[60_000];
+        for (int i = 0; i < 200; i++) {
+            Outbox.query(read("slow" + i, 10_000)).writeTo(slow.out);
+        }
+        Caller other = caller();
+        for (int i = 0; i < 5; i++) {
+            assertThat(other.ask(read("r" + i, 2000))).startsWith("T D:0000").endsWith("C:SELECT 1 Z");
+        }
+    }
+
+    @Test
+    void nearTheLimitIdleConnectionsGoFirstAndWhoCannotStayIsTold() throws Exception {
+        sockets = 76;
+        start();
+        List<Caller> idle = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            idle.add(caller());
+            TimeUnit.MILLISECONDS.sleep(15);
+        }
+        say("the newest of 30 " + idle.get(29).ask(""), "the oldest " + idle.get(0).answer());
+        b.delayMillis = 1500;
+        a.delayMillis = 1500;
+        List<Caller> busy = new ArrayList<>();
+        for (int i = 0; i < 14; i++) {
+            Caller c = new Caller(keep(new Socket(InetAddress.getLoopbackAddress(), router.port)));
+            Outbox.startup("app", "shop").append(Outbox.query(read("b" + i, 3000))).writeTo(c.out);
+            busy.add(c);
+        }
+        List<String> ends = new ArrayList<>();
+        for (Caller c : busy) {
+            String first = c.answer();
+            ends.add(first.startsWith("E") ? first : c.answer());
+        }
+        assertThat(ends).allMatch(e -> List.of("T D:00ff27 C:SELECT 1 Z", "E:53300 Z", "E:53300 closed").contains(e))
+                .contains("E:53300 closed").contains("T D:00ff27 C:SELECT 1 Z");
+        assertThat(trace.toString()).isEqualTo("the newest of 30 I Z\nthe oldest closed\n");
+    }
+
+    // ---- Discovery ----------------------------------------------------------------------------------------
+
+    @Test
+    void theListIsFollowedAndStandsWhileDiscoveryTalksNonsense() throws Exception {
+        start();
+        Caller c = caller();
+        say("at first " + c.ask(read("r1", 1500)));
+        for (String bad : List.of("HTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\n{}",
+                "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"version\":", "nonsense\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"version", "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n"
+                + "{\"version\":99,\"full\":true,\"servers\":[7]}")) {
+            int calls = discovery.calls.get();
+            discovery.garbage = bad;
+            await(() -> discovery.calls.get() >= calls + 2);
+            discovery.garbage = null;
+            say("after nonsense " + c.ask(read("r2", 1500)));
+        }
+        assertThat(discovery.calls.get()).isLessThan(60);
+        HostStandIn d = keep(new HostStandIn("follower"));
+        discovery.list(false, d.entry("d", "Ready"), b.entry("b", "Terminating"));
+        int old = b.queries.size();
+        await(() -> d.queries.isEmpty() && ask(c, read("r3", 1500)).contains("C:") && !d.queries.isEmpty());
+        int atB = b.queries.size();
+        say("draining " + c.ask(read("r4", 1500)) + (b.queries.size() == atB ? "" : " at the drained host"));
+        HostStandIn moved = keep(new HostStandIn("follower"));
+        discovery.list(true, a.entry("a", "Ready"), moved.entry("d", "Ready"));
+        await(() -> ask(c, read("r5", 1500)).contains("C:") && !moved.queries.isEmpty());
+        int atD = d.queries.size();
+        say("moved " + c.ask(read("r6", 1500)) + (d.queries.size() == atD ? "" : " at the old address"));
+        assertThat(old).isLessThanOrEqualTo(atB);
+        assertThat(trace.toString()).isEqualTo("at first T D:00ff27 C:SELECT 1 Z\n"
+                + "after nonsense T D:00ff27 C:SELECT 1 Z\n".repeat(5)
+                + "draining T D:00ff27 C:SELECT 1 Z\nmoved T D:00ff27 C:SELECT 1 Z\n");
+    }
+
+    // ---- Life of the program ------------------------------------------------------------------------------
+
+    @Test
+    void aPlannedRestartUnderLoadLosesNoTxnAndEndsWithZero() throws Exception {
+        start();
+        b.delayMillis = 30;
+        AtomicInteger answered = new AtomicInteger();
+        List<String> odd = new CopyOnWriteArrayList<>();
+        List<Thread> load = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            int n = i;
+            Thread thread = new Thread(() -> {
+                try (Caller c = caller()) {
+                    for (int k = 0; k < 400; k++) {
+                        String answer = c.ask(read("l" + n + "-" + k, 2000));
+                        if (answer.equals("closed")) {
+                            return;
+                        }
+                        if (answer.startsWith("T D:00ff27") && answer.endsWith("Z")) {
+                            answered.incrementAndGet();
+                        } else if (!answer.equals("E:53300 Z")) {
+                            odd.add(answer);
+                        }
+                    }
+                } catch (IOException e) {
+                    odd.add(e.toString());
+                }
+            });
+            thread.start();
+            load.add(thread);
+        }
+        await(() -> answered.get() > 50);
+        int before = answered.get();
+        router.process.toHandle().destroy();
+        TimeUnit.MILLISECONDS.sleep(400);
+        // Who comes while others don't know yet is served.
+        assertThat(caller().ask(read("late", 2000))).isEqualTo("T D:00ff27 C:SELECT 1 Z");
+        assertThat(router.process.waitFor(10, TimeUnit.SECONDS)).isTrue();
+        for (Thread thread : load) {
+            thread.join();
+        }
+        assertThat(odd).isEmpty();
+        assertThat(answered.get()).isGreaterThan(before);
+        assertThat(router.process.exitValue()).isZero();
+    }
+
+    @Test
+    void whatCannotStartSaysWhyInOneLineAndExitsWithOne() throws Exception {
+        ServerSocket taken = keep(new ServerSocket(0, 5, InetAddress.getLoopbackAddress()));
+        String config = config(taken.getLocalPort());
+        for (String text : List.of("", "{", "[]", config.replace("127.0.0.1:" + taken.getLocalPort(), "nowhere"),
+                config.replace("\"seed\":\"1f\"", "\"seed\":\"dice\""), config)) {
+            Program program = keep(new Program(text, taken.getLocalPort()));
+            assertThat(program.process.waitFor(20, TimeUnit.SECONDS)).isTrue();
+            say(program.process.exitValue() + " " + program.log().replaceAll("(?s)/\\S*config\\d*.json", "FILE")
+                    .lines().filter(l -> !l.contains(" INFO ")).collect(Collectors.joining("; ")));
+        }
+        assertThat(trace.toString()).isEqualTo("""
+                1 beaconladder: bad JSON at character 0: the text ends where a value belongs
+                1 beaconladder: bad JSON at character 1: a name in quotes belongs here
+                1 beaconladder: no JSON object in FILE
+                1 beaconladder: 'listen' is no address with a port
+                1 beaconladder: the seed is no hexadecimal number
+                1 beaconladder: Address already in use
+                """);
+    }
+
+    // ---- Helpers ------------------------------------------------------------------------------------------
+
+    private static String read(String id, int millis) {
+        return READ.formatted(id, millis);
+    }
+
+    private static String write(String id, int millis) {
+        return WRITE.formatted(id, millis);
+    }
+
+    private static String ask(Caller c, String query) {
+        try {
+            return c.ask(query);
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+
+    private void say(String... lines) {
+        for (String line : lines) {
+            trace.append(line).append('\n');
+        }
+    }
+
+    private static void await(BooleanSupplier done) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(15);
+        while (!done.getAsBoolean()) {
+            assertThat(System.nanoTime()).as("time for what is waited for").isLessThan(until);
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+    }
+
+    private synchronized <T extends AutoCloseable> T keep(T each) {
+        open.add(0, each);
+        return each;
+    }
+
+    private void closeCallers() throws IOException {
+        for (AutoCloseable each : List.copyOf(open)) {
+            if (each instanceof Caller c) {
+                c.close();
+            }
+        }
+    }
+
+    private Caller caller() throws IOException {
+        Caller c = keep(new Caller(new Socket(InetAddress.getLoopbackAddress(), router.port)));
+        Outbox.startup("app", "shop").writeTo(c.out);
+        assertThat(c.answer()).isEqualTo("R S S S S K Z");
+        return c;
+    }
+
+    private void start() throws Exception {
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        router = keep(new Program(config(port), port));
+        await(() -> {
+            try (Caller c = new Caller(new Socket(InetAddress.getLoopbackAddress(), port))) {
+                Outbox.startup("app", "shop").append(Outbox.query("")).writeTo(c.out);
+                return c.answer().endsWith("Z") && c.answer().equals("I Z");
+            } catch (IOException e) {
+                assertThat(router.process.isAlive()).as(router.log()).isTrue();
+                return false;
+            }
+        });
+    }
+
+    private String config(int port) {
+        StringBuilder types = new StringBuilder();
+        for (String name : List.of("any", "fresh", "own", "write")) {
+            types.append(types.isEmpty() ? "" : ",").append("{\"name\":\"").append(name).append("\",\"effect\":\"")
+                    .append(name.equals("write") ? "side_effect" : "pure").append("\",\"goal_time_us\":500000,")
+                    .append("\"give_up_us\":2000000,\"late_share\":0.5,\"points\":1.0}");
+        }
+        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
+                + discovery.door.getLocalPort() + "\",\"seed\":\"1f\",\"limits\":{\"sockets\":" + sockets + "},"
+                + "\"known\":{\"version\":1,\"full\":true,\"servers\":[" + a.entry("a", "Ready") + "]},"
+                + "\"settings\":{\"family_info\":{\"freshness\":[\"loose\",\"recent\",\"own_writes\",\"update\"],"
+                + "\"oldest_data_us\":[0,500000,0,0],\"session_marks\":\"client\"},\"fees\":{\"probe\":0.069},"
+                + "\"limits\":{\"max_attempts\":10,\"second_copies\":true,\"cancel\":true,\"probes\":true,"
+                + "\"dial_timeout_us\":250000,\"conn_idle_us\":3000000},"
+                + "\"load_report\":{\"fields\":[\"x0\",\"x1\",\"rif\"],\"how\":\"inline\"},"
+                + "\"parties\":[{\"name\":\"acme\"}],\"round_us\":5000,\"replicas_of_me\":1,"
+                + "\"zones\":[\"east\",\"west\"],\"request_classes\":[" + types + "]}}";
+    }
+
+    /** The program, started by the line that operators use. */
+    private final class Program implements AutoCloseable {
+        final Process process;
+        final int port;
+        private final Path log;
+
+        Program(String config, int port) throws IOException {
+            this.port = port;
+            Path file = Files.createTempFile(folder, "config", ".json");
+            Files.writeString(file, config);
+            log = Files.createTempFile(folder, "log", ".txt");
+            String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                    .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow().split("\"")[1];
+            ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).redirectErrorStream(true)
+                    .redirectOutput(log.toFile());
+            builder.environment().put("BALANCER_CONFIG", file.toString());
+            process = builder.start();
+        }
+
+        String log() {
+            try {
+                return Files.readString(log);
+            } catch (IOException e) {
+                return e.toString();
+            }
+        }
+
+        int files() {
+            return count("fd");
+        }
+
+        int threads() {
+            return count("task");
+        }
+
+        private int count(String what) {
+            try (var all = Files.list(Path.of("/proc", String.valueOf(process.pid()), what))) {
+                return (int) all.count();
+            } catch (IOException e) {
+                return -1;
+            }
+        }
+
+        @Override
+        public void close() throws InterruptedException {
+            process.destroyForcibly().waitFor();
+        }
+    }
+
+    /** A client on one connection; prints what it gets, a letter a message. */
+    private static final class Caller implements AutoCloseable {
+        final OutputStream out;
+        private final Socket socket;
+        private final DataInputStream in;
+        String message = "";
+
+        Caller(Socket socket) throws IOException {
+            this.socket = socket;
+            socket.setSoTimeout(15_000);
+            out = socket.getOutputStream();
+            in = new DataInputStream(socket.getInputStream());
+        }
+
+        String ask(String query) throws IOException {
+            try {
+                Outbox.query(query).writeTo(out);
+            } catch (SocketException e) {
+                return "closed";
+            }
+            return answer();
+        }
+
+        /** The messages up to the next that says ready, or the end. */
+        String answer() throws IOException {
+            StringBuilder all = new StringBuilder();
+            try {
+                while (true) {
+                    char type = (char) in.readUnsignedByte();
+                    if (type == 'N') {
+                        all.append("N ");
+                        continue;
+                    }
+                    byte[] body = new byte[in.readInt() - 4];
+                    in.readFully(body);
+                    String text = new String(body, StandardCharsets.UTF_8);
+                    if (type == 'E') {
+                        message = text.replaceAll("(?s).*\0M([^\0]*)\0.*", "$1");
+                    }
+                    all.append(type).append(switch (type) {
+                        case 'D' -> ":" + java.util.HexFormat.of().formatHex(body, 6, Math.min(body.length, 16));
+                        case 'C' -> ":" + text.substring(0, text.length() - 1);
+                        case 'E' -> ":" + text.replaceAll("(?s).*\0C([^\0]*)\0.*", "$1");
+                        default -> "";
+                    });
+                    if (type == 'Z') {
+                        return all.toString();
+                    }
+                    all.append(' ');
+                }
+            } catch (EOFException | SocketException e) {
+                return all + "closed";
+            }
+        }
+
+        String rest() throws IOException {
+            String all = answer();
+            return all.endsWith("closed") ? all : all + " " + rest();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    /** How a host stand-in takes a statement. */
+    private enum Manner { ANSWER, MISS, BEHIND, ERROR, FULL, RESET, CUT, GARBAGE, TWO_ROWS, HUGE, UNKNOWN, SILENT }
+
+    /** A database host, as the published protocol has it. */
+    private static final class HostStandIn implements AutoCloseable {
+        final ServerSocket door = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+        final List<String> queries = new CopyOnWriteArrayList<>();
+        private final List<Long> times = new CopyOnWriteArrayList<>();
+        final AtomicInteger closed = new AtomicInteger();
+        private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+        private final String role;
+        volatile Manner manner = Manner.ANSWER;
+        volatile byte[] value = {0, (byte) 0xff, 0x27};
+        volatile int delayMillis;
+        volatile int greetMillis;
+        volatile boolean closesAfterAnswer;
+        volatile boolean vanished;
+        /** Where its log stands still, or 0: it follows. */
+        volatile long stoppedAt;
+
+        HostStandIn(String role) throws IOException {
+            this.role = role;
+            spawn(() -> {
+                while (!vanished) {
+                    Socket socket = door.accept();
+                    sockets.add(socket);
+                    spawn(() -> serve(socket));
+                }
+            });
+        }
+
+        String entry(String id, String state) {
+            return "{\"id\":\"s-" + id + "\",\"addr\":\"127.0.0.1:" + door.getLocalPort() + "\",\"zone\":\"east\","
+                    + "\"kind\":\"m2\",\"cell\":1,\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":0,"
+                    + "\"role\":\"" + role + "\"}";
+        }
+
+        List<String> queries() {
+            return List.copyOf(queries);
+        }
+
+        boolean sawBefore(String part, long millis) {
+            for (int i = 0; i < queries.size(); i++) {
+                if (queries.get(i).contains(part) && times.get(i) < millis) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        /** Says nothing any more, on open connections and to new ones. */
+        void vanish() {
+            vanished = true;
+            manner = Manner.SILENT;
+        }
+
+        private void serve(Socket socket) throws IOException {
+            try (socket) {
+                DataInputStream in = new DataInputStream(socket.getInputStream());
+                in.readFully(new byte[in.readInt() - 4]);
+                sleep(greetMillis);
+                if (vanished) {
+                    sleep(60_000);
+                }
+                new Outbox().authenticationOk().ready().writeTo(socket.getOutputStream());
+                while (in.readUnsignedByte() == 'Q') {
+                    byte[] body = new byte[in.readInt() - 4];
+                    in.readFully(body);
+                    String text = new String(body, 0, body.length - 1, StandardCharsets.UTF_8);
+                    if (vanished) {
+                        sleep(60_000);
+                    }
+                    if (text.equals("SELECT 1")) {
+                        said().row("x", new byte[] {'1'}).commandComplete("SELECT 1").ready()
+                                .writeTo(socket.getOutputStream());
+                        continue;
+                    }
+                    times.add(System.currentTimeMillis());
+                    queries.add(text);
+                    sleep(delayMillis);
+                    if (!answer(socket) || closesAfterAnswer) {
+                        return;
+                    }
+                }
+            } catch (EOFException e) {
+                closed.incrementAndGet();
+            }
+        }
+
+        private boolean answer(Socket socket) throws IOException {
+            OutputStream out = socket.getOutputStream();
+            switch (manner) {
+                case ANSWER -> said().row("doc", value).commandComplete("SELECT 1").ready().writeTo(out);
+                case MISS -> said().error("ERROR", "25006", "no primary", null).ready().writeTo(out);
+                case BEHIND -> said().error("ERROR", "72000", "behind", null).ready().writeTo(out);
+                case ERROR -> said().error("ERROR", "XX000", "broken", null).ready().writeTo(out);
+                case FULL -> said().error("ERROR", "53300", "full", null).ready().writeTo(out);
+                case CUT -> out.write(new byte[] {'D', 0, 0, 1, 0, 0, 1, 0, 0});
+                case GARBAGE -> out.write("HTTP/1.1 400 Bad Request\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                case TWO_ROWS -> said().row("doc", value).row("doc", value).commandComplete("SELECT 2").ready()
+                        .writeTo(out);
+                case HUGE -> out.write(ByteBuffer.allocate(5).put((byte) 'D').putInt(0x7fffffff).array());
+                case UNKNOWN -> out.write(new byte[] {'G', 0, 0, 0, 4});
+                case RESET -> socket.setSoLinger(true, 0);
+                case SILENT -> {
+                    if (socket.getInputStream().read() < 0) {
+                        closed.incrementAndGet();
+                    }
+                    return false;
+                }
+            }
+            return manner != Manner.CUT && manner != Manner.RESET;
+        }
+
+        private Outbox said() {
+            long at = stoppedAt != 0 ? stoppedAt : System.currentTimeMillis() - (role.equals("leader") ? 0 : 3);
+            return new Outbox().parameterStatus("node_role", role)
+                    .parameterStatus("replay_position", String.valueOf(at))
+                    .parameterStatus("server_load", "x0=" + at / 1000 + "." + String.format("%03d", at % 1000)
+                            + ",x1=" + (role.equals("leader") ? 1 : 0) + ",inflight=0");
+        }
+
+        @Override
+        public void close() throws IOException {
+            door.close();
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Discovery's agent. */
+    private static final class DiscoveryStandIn implements AutoCloseable {
+        final ServerSocket door = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        final AtomicInteger calls = new AtomicInteger();
+        volatile String garbage;
+        private String whole = "";
+        private String change = "";
+        private int version;
+
+        DiscoveryStandIn() throws IOException {
+            spawn(() -> {
+                while (true) {
+                    Socket socket = door.accept();
+                    spawn(() -> serve(socket));
+                }
+            });
+        }
+
+        synchronized void list(boolean full, String... entries) {
+            version++;
+            change = "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + String.join(",", entries)
+                    + "]}";
+            whole = full ? change : whole;
+            notifyAll();
+        }
+
+        private void serve(Socket socket) throws IOException {
+            try (socket) {
+                while (true) {
+                    ByteArrayOutputStream head = new ByteArrayOutputStream();
+                    while (!head.toString(StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
+                        int c = socket.getInputStream().read();
+                        if (c < 0) {
+                            return;
+                        }
+                        head.write(c);
+                    }
+                    calls.incrementAndGet();
+                    String path = head.toString(StandardCharsets.US_ASCII).split(" ")[1];
+                    String body = body(path);
+                    String bad = garbage;
+                    socket.getOutputStream().write((bad != null ? bad : "HTTP/1.1 200 OK\r\nContent-Length: "
+                            + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
+                    if (bad != null) {
+                        return;
+                    }
+                }
+            }
+        }
+
+        private synchronized String body(String path) {
+            if (!path.contains("index=")) {
+                return whole;
+            }
+            int index = Integer.parseInt(path.replaceAll(".*index=(\\d+).*", "$1"));
+            try {
+                // Shorter than what is asked for, so that nonsense has its turn soon.
+                long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(200);
+                while (index >= version && System.nanoTime() < until) {
+                    wait(10);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return index >= version ? "{\"version\":" + version + ",\"full\":false,\"servers\":[]}" : change;
+        }
+
+        @Override
+        public void close() throws IOException {
+            door.close();
+        }
+    }
+
+    private interface Task {
+        void run() throws IOException;
+    }
+
+    private static void spawn(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException e) {
+                // The other side, or the test, has ended it.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static void sleep(int millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
