--- a/src/main/java/beaconladder/app/Main.java
+++ b/src/main/java/beaconladder/app/Main.java
@@ -50,8 +50,11 @@
     private static void serve() {
         String file = System.getenv("BALANCER_CONFIG");
         try {
-            if (file == null || !(Json.read(Files.readString(Path.of(file))) instanceof Map<?, ?> stated)) {
-                throw new IOException(file == null ? "BALANCER_CONFIG names no file" : "no JSON object in " + file);
+            if (file == null) {
+                throw new IOException("BALANCER_CONFIG names no file");
+            }
+            if (!(Json.read(Files.readString(Path.of(file))) instanceof Map<?, ?> stated)) {
+                throw new IOException("no JSON object in " + file);
             }
             Serve router = new Serve(stated);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/src/main/java/beaconladder/roster/HttpGet.java
+++ b/src/main/java/beaconladder/roster/HttpGet.java
@@ -35,9 +35,9 @@
                 in = new BufferedInputStream(socket.getInputStream(), 4096);
             }
             socket.setSoTimeout(millis);
-            socket.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: " + address.getHostString() + ":"
-                    + address.getPort() + "\r\nAccept: application/json\r\n\r\n")
-                    .getBytes(StandardCharsets.US_ASCII));
+            String host = address.getHostString() + ":" + address.getPort();
+            socket.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: " + host
+                    + "\r\nAccept: application/json\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
             String status = line();
             if (!status.startsWith("HTTP/1.")) {
                 throw new IOException("no HTTP answer");
--- a/src/main/java/beaconladder/roster/Json.java
+++ b/src/main/java/beaconladder/roster/Json.java
@@ -40,8 +40,8 @@
     }
 
     /**
-     * A value as the drill's flat lines have it: plain values of a list are joined by commas, a list of objects
-     * states its length under count, spaces and commas inside of values become underscores.
+     * A value as the drill's flat lines have it: plain values of a list are joined by commas, a list of
+     * objects states its length under count, spaces and commas inside of values become underscores.
      */
     public static void flatten(String name, Object value, Map<String, String> into) {
         if (value instanceof Map<?, ?> map) {
--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -27,7 +27,7 @@
     private static final int GSSENC = 80877104;
     /** So many queries written ahead are read; further ones wait in the socket. */
     private static final int AHEAD = 64;
-    /** What a client still sends after its end was told is read so long; loopback and networks need far less. */
+    /** What a client still sends after its end was told is read so long; networks need far less. */
     static final long LINGER = 500_000_000L;
 
     /** A piece of work for the task: a query to answer, or, without one, messages to write. */
@@ -132,7 +132,8 @@
         while (true) {
             Got got = in.next(0);
             if (got == Got.MALFORMED || got == Got.CUT) {
-                return sendAway(got == Got.CUT ? "a message that is cut off" : "a message of impossible length");
+                return sendAway(got == Got.CUT ? "a message that is cut off"
+                        : "a message of impossible length");
             }
             if (got != Got.MESSAGE) {
                 return true;
--- a/src/main/java/beaconladder/serve/Desk.java
+++ b/src/main/java/beaconladder/serve/Desk.java
@@ -28,8 +28,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Holds the module, its one lock and its one clock. Each event is told under the lock, then the rounds are played;
- * what has to be done on sockets is done by others, or here once the lock is free.
+ * Holds the module, its one lock and its one clock. Each event is told under the lock, then the rounds are
+ * played; what has to be done on sockets is done by others, or here once the lock is free.
  */
 final class Desk implements Rounds.Door, Watch.Listener, Runnable {
     private static final Logger LOG = LoggerFactory.getLogger(Desk.class);
@@ -112,8 +112,8 @@
     }
 
     /** Takes a txn in: its task is told through the hand what to do. */
-    Hand take(int type, Group group, long session, long written, String tenant, boolean repeated, long arrived,
-            long expiry) {
+    Hand take(int type, Group group, long session, long written, String tenant, boolean repeated,
+            long arrived, long expiry) {
         lock.lock();
         Hand hand;
         try {
--- a/src/test/java/beaconladder/LogicTest.java
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -435,7 +435,8 @@
         all.append(Script.warm().ask(1, ANY, 0, 2000).ask(2, WRITE, 0, 900).tick(100).stands(1).stands(2)
                 .list("a", false, Host.State.DRAINING, 0).list("b", false, Host.State.DRAINING, 0)
                 .list("c", false, Host.State.GONE, 0).stands(1).stands(2).trace());
-        all.append(Script.warm().ask(1, WRITE, 0, 900).tick(20).probed("b", Role.PRIMARY, 20).stands(1).trace());
+        all.append(Script.warm().ask(1, WRITE, 0, 900).tick(20).probed("b", Role.PRIMARY, 20).stands(1)
+                .trace());
         all.append(Script.warm().ask(1, ANY, 0, 900).left(1).stands(1).trace());
         assertThat(all.toString()).isEqualTo("""
                 400 ask 1 bounded
--- a/src/test/java/beaconladder/serve/PartsTest.java
+++ b/src/test/java/beaconladder/serve/PartsTest.java
@@ -21,9 +21,10 @@
         Map<String, String> flat = new LinkedHashMap<>();
         Json.flatten("", Json.read("""
                 {"clients":{"marks_retry":true},"family_info":{"freshness":["recent","update"],
-                 "notes":"position in ms, plus 1","position_zero_us":281993321636},"fees":{"probe":0.069,"waste":0.0},
-                 "kinds":["std-3c"],"request_classes":[{"effect":"pure","give_up_us":2000000,"name":"cab-board",
-                 "points":1.0,"stream":false},{"effect":"side_effect","name":"trip\\u002dbook","points":3.0}],
+                 "notes":"position in ms, plus 1","position_zero_us":281993321636},
+                 "fees":{"probe":0.069,"waste":0.0},"kinds":["std-3c"],
+                 "request_classes":[{"effect":"pure","give_up_us":2000000,"name":"cab-board","points":1.0,
+                 "stream":false},{"effect":"side_effect","name":"trip\\u002dbook","points":3.0}],
                  "my_number":0,"nothing":null,"empty":[]}"""), flat);
         Map<String, String> drill = new TreeMap<>();
         """
@@ -45,19 +46,22 @@
                 request_classes.1.effect=side_effect
                 request_classes.1.name=trip-book
                 request_classes.1.points=3.0
-                """.lines().forEach(line -> drill.put(line.split("=")[0], line.substring(line.indexOf('=') + 1)));
+                """.lines().forEach(line -> drill.put(line.split("=")[0],
+                        line.substring(line.indexOf('=') + 1)));
         assertThat(new TreeMap<>(flat)).isEqualTo(drill);
     }
 
     @Test
     void positionsStayExactAndAreRoundedDownOnly() {
         StringBuilder trace = new StringBuilder();
-        for (String position : new String[] {"1767225600123", "1767225600123.9999999", "0", "-3", "1e30", "x", ""}) {
+        for (String position : new String[] {"1767225600123", "1767225600123.9999999", "0", "-3", "1e30", "x",
+            ""}) {
             long nanos = Ending.nanos(position, 6);
             trace.append(position).append(" ms: ").append(nanos == Word.NONE ? "none" : nanos).append('\n');
         }
-        for (String load : new String[] {"x0=1767225600.123456789,x1=1,inflight=7", "x0=1767225600.1239999999,x1=0",
-            "inflight=7,util=0.61", "rif=2.5", "x0=NaN,x1=none,inflight=-1", "inflight=1e9", "nonsense", ""}) {
+        for (String load : new String[] {"x0=1767225600.123456789,x1=1,inflight=7",
+            "x0=1767225600.1239999999,x1=0", "inflight=7,util=0.61", "rif=2.5",
+            "x0=NaN,x1=none,inflight=-1", "inflight=1e9", "nonsense", ""}) {
             Word word = Ending.report(load);
             trace.append(load).append(": ").append(word.role()).append(' ')
                     .append(word.position() == Word.NONE ? "none" : word.position()).append(' ')
@@ -84,7 +88,8 @@
 
     @Test
     void onlyTheTimeToWaitChangesInAStatementThatIsPassedOn() {
-        String text = "SELECT doc FROM items WHERE id = 'it/*d=1,*/' /* id=9,c=x , d=480,cluster=2,after=5,k=z */ ";
+        String text = "SELECT doc FROM items WHERE id = 'it/*d=1,*/' "
+                + "/* id=9,c=x , d=480,cluster=2,after=5,k=z */ ";
         Statement statement = Statement.read(text);
         assertThat(statement.fault()).isNull();
         assertThat(statement.value("id") + statement.value("c") + statement.value("k")).isEqualTo("9xz");
@@ -96,8 +101,8 @@
     @Test
     void badJsonIsNamedWithItsPlace() {
         StringBuilder trace = new StringBuilder();
-        for (String text : new String[] {"", "{", "{\"a\" 1}", "[1,]", "[1", "tru", "\"a", "\"\\x\"", "1e999999999",
-            "01x", "{} {}", "[".repeat(100_000), "\"\\u00zz\""}) {
+        for (String text : new String[] {"", "{", "{\"a\" 1}", "[1,]", "[1", "tru", "\"a", "\"\\x\"",
+            "1e999999999", "01x", "{} {}", "[".repeat(100_000), "\"\\u00zz\""}) {
             try {
                 trace.append(Json.read(text)).append('\n');
             } catch (Json.Fault e) {
@@ -124,13 +129,15 @@
     @Test
     void anEntryThatCannotBeReadMakesTheListVoid() throws Exception {
         StringBuilder trace = new StringBuilder();
-        String good = "{\"id\":\"s-1\",\"addr\":\"10.1.0.18:5432\",\"zone\":\"a\",\"cell\":3,\"state\":\"Ready\","
-                + "\"started_ms\":1767225600123,\"role\":\"leader\"}";
+        String good = """
+                {"id":"s-1","addr":"10.1.0.18:5432","zone":"a","cell":3,"state":"Ready",
+                 "started_ms":1767225600123,"role":"leader"}""";
         for (String entry : new String[] {good, good.replace("Ready", "Gone").replace("10.1.0.18:5432", ""),
             good.replace("Ready", "Sleeping"), good.replace("10.1.0.18", "db.internal"),
             good.replace(":5432", ":99999"), good.replace("\"cell\":3", "\"cell\":\"x\""), "7"}) {
             try {
-                trace.append(Watch.entries((Map<?, ?>) Json.read("{\"servers\":[" + entry + "]}"))).append('\n');
+                Map<?, ?> news = (Map<?, ?>) Json.read("{\"servers\":[" + entry + "]}");
+                trace.append(Watch.entries(news)).append('\n');
             } catch (IOException e) {
                 trace.append(e.getMessage()).append('\n');
             }
@@ -138,7 +145,8 @@
         assertThat(trace.toString().replace("Entry", "")).isEqualTo("""
                 [[id=s-1, address=/10.1.0.18:5432, zone=a, group=3, state=READY, leader=true, \
                 launchedMillis=1767225600123]]
-                [[id=s-1, address=null, zone=a, group=3, state=GONE, leader=true, launchedMillis=1767225600123]]
+                [[id=s-1, address=null, zone=a, group=3, state=GONE, leader=true, \
+                launchedMillis=1767225600123]]
                 an unknown state Sleeping
                 no address of s-1
                 no address of s-1
--- a/src/test/java/beaconladder/serve/ServeIT.java
+++ b/src/test/java/beaconladder/serve/ServeIT.java
@@ -17,24 +17,27 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Starts the packaged program as operators do and talks to it over sockets, with stand-ins on its other sides. */
+/** Starts the packaged program as operators do and talks to it over sockets, between stand-ins. */
 @Timeout(60)
 class ServeIT {
-    private static final String READ = "SELECT doc FROM items WHERE id = 'k' /* id=%s,c=any,t=acme,d=%d,cluster=1 */";
-    private static final String WRITE =
-            "INSERT INTO items (id, doc) VALUES ('k', '\\x9f03') RETURNING doc /* id=%s,c=write,t=acme,d=%d,cluster=1 */";
+    private static final String READ =
+            "SELECT doc FROM items WHERE id = 'k' /* id=%s,c=any,t=acme,d=%d,cluster=1 */";
+    private static final String WRITE = "INSERT INTO items (id, doc) VALUES ('k', '\\x9f03') RETURNING doc "
+            + "/* id=%s,c=write,t=acme,d=%d,cluster=1 */";
 
     @TempDir
     Path folder;
@@ -67,7 +70,8 @@
     void readsGoToTheReplicaAndWritesToThePrimaryWithTheirTextUnchangedAndTheRowAsItCame() throws Exception {
         start();
         Caller c = caller();
-        say(c.ask(read("r1", 1500)), c.ask(write("w1", 1500)), c.ask("SET x = 1"), c.ask(""), c.ask("reset all"));
+        say(c.ask(read("r1", 1500)), c.ask(write("w1", 1500)), c.ask("SET x = 1"), c.ask(""),
+                c.ask("reset all"));
         say("a " + a.queries(), "b " + b.queries());
         assertThat(trace.toString().replaceAll("d=1[34]\\d\\d", "d=less")).isEqualTo("""
                 T D:00ff27 C:SELECT 1 Z
@@ -87,7 +91,8 @@
         Socket socket = keep(new Socket(InetAddress.getLoopbackAddress(), router.port));
         b.delayMillis = 100;
         Outbox all = Outbox.startup("app", "shop").append(Outbox.query(read("r1", 2000)))
-                .append(Outbox.query("")).append(Outbox.query(read("r2", 2000))).append(Outbox.query("DISCARD ALL"));
+                .append(Outbox.query("")).append(Outbox.query(read("r2", 2000)))
+                .append(Outbox.query("DISCARD ALL"));
         all.writeTo(socket.getOutputStream());
         Caller c = new Caller(socket);
         say(c.answer(), c.answer(), c.answer(), c.answer(), c.answer());
@@ -138,8 +143,9 @@
         start();
         Caller c = caller();
         String tail = "t=acme,d=480,cluster=1 */";
-        for (String q : List.of("SELECT 1", "SELECT /* id=1", "SELECT /* nonsense */", "SELECT /* c=any," + tail,
-                "SELECT /* id=1,c=nosuch," + tail, "SELECT /* id=1," + tail, "SELECT /* id=1,c=any,cluster=1 */",
+        for (String q : List.of("SELECT 1", "SELECT /* id=1", "SELECT /* nonsense */",
+                "SELECT /* c=any," + tail, "SELECT /* id=1,c=nosuch," + tail, "SELECT /* id=1," + tail,
+                "SELECT /* id=1,c=any,cluster=1 */",
                 "SELECT /* id=1,c=any,d=0,cluster=1 */", "SELECT /* id=1,c=any,d=-5,cluster=1 */",
                 "SELECT /* id=1,c=any,d=x,cluster=1 */", "SELECT /* id=1,c=any,d=9,cluster=77 */",
                 "SELECT /* id=1,c=any,d=9 */", "SELECT /* id=1,c=own,after=soon," + tail)) {
@@ -168,18 +174,20 @@
     @Test
     void otherOpeningsAndFramesGetWhatTheProtocolGives() throws Exception {
         start();
-        Outbox parse = new Outbox().raw(new byte[] {'P', 0, 0, 0, 8, 0, 0, 0, 0, 'B', 0, 0, 0, 4, 'd', 0, 0, 0, 4,
-            'S', 0, 0, 0, 4}, 0, 24);
+        Outbox parse = new Outbox().raw(new byte[] {'P', 0, 0, 0, 8, 0, 0, 0, 0, 'B', 0, 0, 0, 4,
+            'd', 0, 0, 0, 4, 'S', 0, 0, 0, 4}, 0, 24);
         Caller c = caller();
         parse.writeTo(c.out);
         say("extended " + c.answer() + ", then " + c.ask(""));
-        for (String hex : List.of("00000008 04d2162f", "00000008 04d21630", "00000010 04d2162e 00000001 00000002",
+        for (String hex : List.of("00000008 04d2162f", "00000008 04d21630",
+                "00000010 04d2162e 00000001 00000002",
                 "00000008 00020000", "00000003", "7fffffff 00030000",
-                "00000010 00030002 5f70715f 2e780000", "0000000900030000 00 51 7fffffff", "0000000900030000 00 51 00000003",
+                "00000010 00030002 5f70715f 2e780000", "0000000900030000 00 51 7fffffff",
+                "0000000900030000 00 51 00000003",
                 "0000000900030000 00 7a 00000004", "0000000900030000 00 58 00000004")) {
             Socket socket = keep(new Socket(InetAddress.getLoopbackAddress(), router.port));
             Caller raw = new Caller(socket);
-            raw.out.write(java.util.HexFormat.of().parseHex(hex.replace(" ", "")));
+            raw.out.write(HexFormat.of().parseHex(hex.replace(" ", "")));
             socket.shutdownOutput();
             say(hex + " -> " + raw.rest());
         }
@@ -380,7 +388,8 @@
             String first = c.answer();
             ends.add(first.startsWith("E") ? first : c.answer());
         }
-        assertThat(ends).allMatch(e -> List.of("T D:00ff27 C:SELECT 1 Z", "E:53300 Z", "E:53300 closed").contains(e))
+        assertThat(ends)
+                .allMatch(e -> List.of("T D:00ff27 C:SELECT 1 Z", "E:53300 Z", "E:53300 closed").contains(e))
                 .contains("E:53300 closed").contains("T D:00ff27 C:SELECT 1 Z");
         assertThat(trace.toString()).isEqualTo("the newest of 30 I Z\nthe oldest closed\n");
     }
@@ -394,7 +403,8 @@
         say("at first " + c.ask(read("r1", 1500)));
         for (String bad : List.of("HTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\n{}",
                 "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"version\":", "nonsense\r\n\r\n",
-                "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"version", "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n"
+                "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"version",
+                "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n"
                 + "{\"version\":99,\"full\":true,\"servers\":[7]}")) {
             int calls = discovery.calls.get();
             discovery.garbage = bad;
@@ -470,11 +480,13 @@
     void whatCannotStartSaysWhyInOneLineAndExitsWithOne() throws Exception {
         ServerSocket taken = keep(new ServerSocket(0, 5, InetAddress.getLoopbackAddress()));
         String config = config(taken.getLocalPort());
-        for (String text : List.of("", "{", "[]", config.replace("127.0.0.1:" + taken.getLocalPort(), "nowhere"),
+        for (String text : List.of("", "{", "[]",
+                config.replace("127.0.0.1:" + taken.getLocalPort(), "nowhere"),
                 config.replace("\"seed\":\"1f\"", "\"seed\":\"dice\""), config)) {
             Program program = keep(new Program(text, taken.getLocalPort()));
             assertThat(program.process.waitFor(20, TimeUnit.SECONDS)).isTrue();
-            say(program.process.exitValue() + " " + program.log().replaceAll("(?s)/\\S*config\\d*.json", "FILE")
+            say(program.process.exitValue() + " "
+                    + program.log().replaceAll("(?s)/\\S*config\\d*.json", "FILE")
                     .lines().filter(l -> !l.contains(" INFO ")).collect(Collectors.joining("; ")));
         }
         assertThat(trace.toString()).isEqualTo("""
@@ -557,22 +569,20 @@
     }
 
     private String config(int port) {
-        StringBuilder types = new StringBuilder();
-        for (String name : List.of("any", "fresh", "own", "write")) {
-            types.append(types.isEmpty() ? "" : ",").append("{\"name\":\"").append(name).append("\",\"effect\":\"")
-                    .append(name.equals("write") ? "side_effect" : "pure").append("\",\"goal_time_us\":500000,")
-                    .append("\"give_up_us\":2000000,\"late_share\":0.5,\"points\":1.0}");
-        }
-        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
-                + discovery.door.getLocalPort() + "\",\"seed\":\"1f\",\"limits\":{\"sockets\":" + sockets + "},"
-                + "\"known\":{\"version\":1,\"full\":true,\"servers\":[" + a.entry("a", "Ready") + "]},"
-                + "\"settings\":{\"family_info\":{\"freshness\":[\"loose\",\"recent\",\"own_writes\",\"update\"],"
-                + "\"oldest_data_us\":[0,500000,0,0],\"session_marks\":\"client\"},\"fees\":{\"probe\":0.069},"
-                + "\"limits\":{\"max_attempts\":10,\"second_copies\":true,\"cancel\":true,\"probes\":true,"
-                + "\"dial_timeout_us\":250000,\"conn_idle_us\":3000000},"
-                + "\"load_report\":{\"fields\":[\"x0\",\"x1\",\"rif\"],\"how\":\"inline\"},"
-                + "\"parties\":[{\"name\":\"acme\"}],\"round_us\":5000,\"replicas_of_me\":1,"
-                + "\"zones\":[\"east\",\"west\"],\"request_classes\":[" + types + "]}}";
+        String types = Stream.of("any", "fresh", "own", "write").map(name -> """
+                {"name":"%s","effect":"%s","goal_time_us":500000,"give_up_us":2000000,"late_share":0.5,\
+                "points":1.0}""".formatted(name, name.equals("write") ? "side_effect" : "pure"))
+                .collect(Collectors.joining(","));
+        return """
+                {"name":"n0","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"1f",
+                 "limits":{"sockets":%d},"known":{"version":1,"full":true,"servers":[%s]},
+                 "settings":{"family_info":{"freshness":["loose","recent","own_writes","update"],
+                  "oldest_data_us":[0,500000,0,0],"session_marks":"client"},"fees":{"probe":0.069},
+                  "limits":{"max_attempts":10,"second_copies":true,"cancel":true,"probes":true,
+                   "dial_timeout_us":250000,"conn_idle_us":3000000},
+                  "load_report":{"fields":["x0","x1","rif"],"how":"inline"},"parties":[{"name":"acme"}],
+                  "round_us":5000,"replicas_of_me":1,"zones":["east","west"],"request_classes":[%s]}}"""
+                .formatted(port, discovery.door.getLocalPort(), sockets, a.entry("a", "Ready"), types);
     }
 
     /** The program, started by the line that operators use. */
@@ -619,8 +629,8 @@
         }
 
         @Override
-        public void close() throws InterruptedException {
-            process.destroyForcibly().waitFor();
+        public void close() {
+            process.destroyForcibly().onExit().join();
         }
     }
 
@@ -664,7 +674,7 @@
                         message = text.replaceAll("(?s).*\0M([^\0]*)\0.*", "$1");
                     }
                     all.append(type).append(switch (type) {
-                        case 'D' -> ":" + java.util.HexFormat.of().formatHex(body, 6, Math.min(body.length, 16));
+                        case 'D' -> ":" + HexFormat.of().formatHex(body, 6, Math.min(body.length, 16));
                         case 'C' -> ":" + text.substring(0, text.length() - 1);
                         case 'E' -> ":" + text.replaceAll("(?s).*\0C([^\0]*)\0.*", "$1");
                         default -> "";
@@ -691,7 +701,9 @@
     }
 
     /** How a host stand-in takes a statement. */
-    private enum Manner { ANSWER, MISS, BEHIND, ERROR, FULL, RESET, CUT, GARBAGE, TWO_ROWS, HUGE, UNKNOWN, SILENT }
+    private enum Manner {
+        ANSWER, MISS, BEHIND, ERROR, FULL, RESET, CUT, GARBAGE, TWO_ROWS, HUGE, UNKNOWN, SILENT
+    }
 
     /** A database host, as the published protocol has it. */
     private static final class HostStandIn implements AutoCloseable {
@@ -722,9 +734,10 @@
         }
 
         String entry(String id, String state) {
-            return "{\"id\":\"s-" + id + "\",\"addr\":\"127.0.0.1:" + door.getLocalPort() + "\",\"zone\":\"east\","
-                    + "\"kind\":\"m2\",\"cell\":1,\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":0,"
-                    + "\"role\":\"" + role + "\"}";
+            return """
+                    {"id":"s-%s","addr":"127.0.0.1:%d","zone":"east","kind":"m2","cell":1,"state":"%s",\
+                    "weight":1.0,"started_ms":0,"role":"%s"}"""
+                    .formatted(id, door.getLocalPort(), state, role);
         }
 
         List<String> queries() {
@@ -788,8 +801,8 @@
                 case ERROR -> said().error("ERROR", "XX000", "broken", null).ready().writeTo(out);
                 case FULL -> said().error("ERROR", "53300", "full", null).ready().writeTo(out);
                 case CUT -> out.write(new byte[] {'D', 0, 0, 1, 0, 0, 1, 0, 0});
-                case GARBAGE -> out.write("HTTP/1.1 400 Bad Request\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-                case TWO_ROWS -> said().row("doc", value).row("doc", value).commandComplete("SELECT 2").ready()
+                case GARBAGE -> out.write("HTTP/1.1 400 Bad\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                case TWO_ROWS -> said().row("doc", value).row("doc", value).commandComplete("SELECT").ready()
                         .writeTo(out);
                 case HUGE -> out.write(ByteBuffer.allocate(5).put((byte) 'D').putInt(0x7fffffff).array());
                 case UNKNOWN -> out.write(new byte[] {'G', 0, 0, 0, 4});
@@ -805,7 +818,8 @@
         }
 
         private Outbox said() {
-            long at = stoppedAt != 0 ? stoppedAt : System.currentTimeMillis() - (role.equals("leader") ? 0 : 3);
+            long behind = role.equals("leader") ? 0 : 3;
+            long at = stoppedAt != 0 ? stoppedAt : System.currentTimeMillis() - behind;
             return new Outbox().parameterStatus("node_role", role)
                     .parameterStatus("replay_position", String.valueOf(at))
                     .parameterStatus("server_load", "x0=" + at / 1000 + "." + String.format("%03d", at % 1000)
@@ -841,8 +855,8 @@
 
         synchronized void list(boolean full, String... entries) {
             version++;
-            change = "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + String.join(",", entries)
-                    + "]}";
+            change = "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":["
+                    + String.join(",", entries) + "]}";
             whole = full ? change : whole;
             notifyAll();
         }
