Probes ask hosts for their report, so that held reads learn positions and roles

Checked by a trace of each txn's end and each probe: probes came back in 1 ms without position, role or load, so that held reads waited for answers of other txns.

At fault: Lines sent SELECT 1 where reports come with answers; on sockets that tells only that the process runs. Now SHOW server_load wherever the settings know reports. The stand-in host answers both as the protocol has them; a new test holds a bounded read that only a probe can set free.

--- a/src/main/java/beaconladder/serve/Lines.java
+++ b/src/main/java/beaconladder/serve/Lines.java
@@ -35,7 +35,8 @@
         this.desk = desk;
         this.threads = threads;
         this.dialNanos = Long.parseLong(start.getOrDefault("limits.dial_timeout_us", "250000")) * 1_000;
-        this.probeReports = "on_probe".equals(start.get("load_report.how"));
+        // A plain probe tells that the process runs and no more; the report tells position, role and load.
+        this.probeReports = !"off".equals(start.getOrDefault("load_report.how", "off"));
         this.probeQuery = probeReports ? "SHOW server_load" : "SELECT 1";
     }
 
--- a/src/test/java/beaconladder/serve/ServeIT.java
+++ b/src/test/java/beaconladder/serve/ServeIT.java
@@ -319,6 +319,20 @@
         assertThat(b.sawBefore("id=own", after)).isFalse();
     }
 
+    /** A probe has to bring position and role, else a held read learns nothing of a replica that caught up. */
+    @Test
+    void aHeldReadLearnsFromAProbeThatAReplicaHasCaughtUp() throws Exception {
+        start();
+        Caller c = caller();
+        ask(c, read("warm", 2000));
+        TimeUnit.MILLISECONDS.sleep(700);
+        // All that this router has heard is too old for a bounded read now.
+        say(c.ask(read("fresh", 2000).replace("c=any", "c=fresh")));
+        assertThat(b.queries()).anyMatch(q -> q.contains("id=fresh"));
+        assertThat(a.queries()).noneMatch(q -> q.contains("id=fresh"));
+        assertThat(trace.toString()).isEqualTo("T D:00ff27 C:SELECT 1 Z\n");
+    }
+
     @Test
     void aHostThatVanishesCostsTimeOutsButNoThreadsOrDescriptors() throws Exception {
         start();
@@ -788,8 +802,10 @@
                     if (vanished) {
                         sleep(60_000);
                     }
-                    if (text.equals("SELECT 1")) {
-                        said().row("x", new byte[] {'1'}).commandComplete("SELECT 1").ready()
+                    if (text.equals("SELECT 1") || text.equals("SHOW server_load")) {
+                        byte[] cell = text.equals("SELECT 1") ? new byte[] {'1'}
+                                : load().getBytes(StandardCharsets.US_ASCII);
+                        new Outbox().row("x", cell).commandComplete("SELECT 1").ready()
                                 .writeTo(socket.getOutputStream());
                         continue;
                     }
@@ -831,12 +847,19 @@
         }
 
         private Outbox said() {
-            long behind = role.equals("leader") ? 0 : 3;
-            long at = stoppedAt != 0 ? stoppedAt : System.currentTimeMillis() - behind;
             return new Outbox().parameterStatus("node_role", role)
-                    .parameterStatus("replay_position", String.valueOf(at))
-                    .parameterStatus("server_load", "x0=" + at / 1000 + "." + String.format("%03d", at % 1000)
-                            + ",x1=" + (role.equals("leader") ? 1 : 0) + ",inflight=0");
+                    .parameterStatus("replay_position", String.valueOf(position()))
+                    .parameterStatus("server_load", load());
+        }
+
+        private long position() {
+            return stoppedAt != 0 ? stoppedAt : System.currentTimeMillis() - (role.equals("leader") ? 0 : 3);
+        }
+
+        private String load() {
+            long at = position();
+            return "x0=" + at / 1000 + "." + String.format("%03d", at % 1000) + ",x1="
+                    + (role.equals("leader") ? 1 : 0) + ",inflight=0";
         }
 
         @Override
