Threads are bounded by the memory stated; a txn without one is declined at the door

Seen: 900 clients, 400 of them with a txn in hand, took 207 MB of 192 (1,336 threads); 950 idle ones 136 MB. Checked in the process's memory map: 71 KB resident in each thread's stack (the JVM touches 20 pages below the top of it), heap 21 MB, the rest as at the start. Excluded: malloc arenas (one arena: 206 MB), smaller heap, allocation buffers and stacks (191 to 201 MB). Threads are kept for ten seconds, no longer a minute.

--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -182,7 +182,18 @@
             }
             busy = true;
         }
-        clients.execute(this::serve);
+        if (!clients.execute(this::serve)) {
+            synchronized (this) {
+                work.clear();
+                busy = false;
+            }
+            // No thread is left to see a txn through: it is declined here, before it is taken in hand.
+            send(next.query() == null ? next.messages() : new Outbox().error("ERROR", "53300",
+                    "declined, as too many txns are in hand; it has not run", null).ready());
+            if (next.last()) {
+                socket.shutdownOutput();
+            }
+        }
     }
 
     /** Once the end has been told, reads on for a while, so that the message is not lost by a reset. */
--- a/src/main/java/beaconladder/serve/Clients.java
+++ b/src/main/java/beaconladder/serve/Clients.java
@@ -7,7 +7,6 @@
 import java.util.Comparator;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutorService;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -22,18 +21,21 @@
 
     private final Desk desk;
     private final Lines lines;
-    private final ExecutorService threads;
+    private final Threads threads;
     private final int most;
+    private final int mostClients;
     private final Set<Client> all = ConcurrentHashMap.newKeySet();
     private ServerSocket listener;
     private volatile boolean draining;
     private volatile boolean closed;
 
-    Clients(Desk desk, Lines lines, ExecutorService threads, int descriptors) {
+    Clients(Desk desk, Lines lines, Threads threads, int descriptors) {
         this.desk = desk;
         this.lines = lines;
         this.threads = threads;
         this.most = Math.max(1, descriptors - RESERVE);
+        // Half of the threads read for clients; a txn in hand takes two more, its task and its call.
+        this.mostClients = threads.most() / 2;
     }
 
     void listen(InetSocketAddress address) throws IOException {
@@ -47,7 +49,9 @@
         while (!closed) {
             try {
                 Socket socket = listener.accept();
-                if (all.size() + lines.open() >= most) {
+                if (all.size() >= mostClients) {
+                    closeOldest();
+                } else if (all.size() + lines.open() >= most) {
                     makeRoom();
                 }
                 Client client = new Client(this, desk, lines, socket);
@@ -72,12 +76,16 @@
     /** Connections that lie idle go first: to hosts, then of clients. */
     private void makeRoom() {
         if (!lines.closeOldest()) {
-            long lately = System.nanoTime() - LATELY;
-            all.stream().filter(client -> client.usedAt() < lately)
-                    .sorted(Comparator.comparingLong(Client::usedAt)).filter(Client::closeIfIdle).findFirst();
+            closeOldest();
         }
     }
 
+    private void closeOldest() {
+        long lately = System.nanoTime() - LATELY;
+        all.stream().filter(client -> client.usedAt() < lately && !client.ending())
+                .sorted(Comparator.comparingLong(Client::usedAt)).filter(Client::closeIfIdle).findFirst();
+    }
+
     private static void pause() {
         try {
             Thread.sleep(10);
@@ -89,9 +97,12 @@
     /** Whether a client that has just come can't be kept. */
     boolean full() {
         int held = all.size() + lines.open();
+        if (held <= most && all.size() <= mostClients) {
+            return false;
+        }
         // Those who have been told to go still hold theirs for a moment, out of half of the reserve.
-        return held > most + RESERVE / 2
-                || held > most && held - all.stream().filter(Client::ending).count() > most;
+        long ending = all.stream().filter(Client::ending).count();
+        return held > most + RESERVE / 2 || held - ending > most || all.size() - ending > mostClients;
     }
 
     void sweep() {
@@ -103,8 +114,13 @@
         return all.size();
     }
 
-    void execute(Runnable task) {
+    /** Starts a client's task; false when there is no thread left for it and the submission to come. */
+    boolean execute(Runnable task) {
+        if (!threads.room(2)) {
+            return false;
+        }
         threads.execute(task);
+        return true;
     }
 
     void gone(Client client) {
--- a/src/main/java/beaconladder/serve/Serve.java
+++ b/src/main/java/beaconladder/serve/Serve.java
@@ -6,18 +6,12 @@
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ThreadFactory;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /** A router on sockets: start it with what the operators state, and drain it at the end. */
 public final class Serve {
     private static final Logger LOG = LoggerFactory.getLogger(Serve.class);
-    /** The deepest calls of a thread here take some ten kilobytes; the rest is for the JVM's own pages. */
-    private static final long STACK = 256 * 1024;
     private static final int SWEEP_MILLIS = 100;
     /** Those who hand out connections learn of an end so much later at the most. */
     private static final int NOTICE_MILLIS = 700;
@@ -26,13 +20,6 @@
     /** Time for answers that lie in sockets to reach their clients before the program ends. */
     private static final int LAST_MILLIS = 100;
 
-    private final AtomicInteger number = new AtomicInteger();
-    private final ThreadFactory factory = r -> {
-        Thread thread = new Thread(null, r, "router-" + number.incrementAndGet(), STACK);
-        thread.setDaemon(true);
-        return thread;
-    };
-    private final ExecutorService threads = Executors.newCachedThreadPool(factory);
     private final Desk desk;
     private final Lines lines;
     private final Clients clients;
@@ -59,6 +46,7 @@
         } catch (NumberFormatException e) {
             throw new IOException("the seed is no hexadecimal number");
         }
+        Threads threads = new Threads(Integer.parseInt(limits.getOrDefault("memory_mb", "192")));
         desk = new Desk(seed, start);
         lines = new Lines(desk, start, threads);
         desk.errands(lines);
@@ -72,9 +60,9 @@
             expiry = Math.max(expiry, Long.parseLong(start.get("request_classes." + i + ".give_up_us")));
         }
         longestNanos = expiry * 1_000 + Client.LINGER;
-        factory.newThread(desk).start();
-        factory.newThread(watch).start();
-        factory.newThread(this::sweep).start();
+        threads.make(desk).start();
+        threads.make(watch).start();
+        threads.make(this::sweep).start();
         // What was known may be out of date: discovery has a while to tell better.
         long patient = System.nanoTime() + DISCOVERY_MILLIS * 1_000_000L;
         while (!desk.knowsHosts() || !watch.answered() && System.nanoTime() < patient) {
@@ -82,7 +70,7 @@
         }
         WarmUp.run(start);
         clients.listen(listen);
-        factory.newThread(clients).start();
+        threads.make(clients).start();
         LOG.info("{} serves at {}", stated.get("name"), listen);
     }
 
--- /dev/null
+++ b/src/main/java/beaconladder/serve/Threads.java
@@ -0,0 +1,66 @@
+package beaconladder.serve;
+
+import java.util.concurrent.Executor;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** The router's threads, and how many more of them its memory has room for. */
+final class Threads implements Executor {
+    /** The deepest calls here take some ten kilobytes; the JVM touches eighty more below them. */
+    private static final long STACK = 256 * 1024;
+    /** A thread with its connection was measured at 95 KB resident, 72 of them stack. */
+    private static final int THREAD_KB = 96;
+    /** The program alone was measured at 47 MB; as much again is left for large values in the heap. */
+    private static final int PROGRAM_MB = 96;
+    /** Under load a thread is used again within milliseconds; later its stack is better given back. */
+    private static final int KEPT_SECONDS = 10;
+    private static final int FEWEST = 64;
+
+    private final AtomicInteger number = new AtomicInteger();
+    private final AtomicInteger inUse = new AtomicInteger();
+    private final ThreadPoolExecutor pool = new ThreadPoolExecutor(0, Integer.MAX_VALUE, KEPT_SECONDS,
+            TimeUnit.SECONDS, new SynchronousQueue<>(), this::make);
+    private final int most;
+
+    Threads(int memoryMb) {
+        most = Math.max(FEWEST, (memoryMb - PROGRAM_MB) * 1024 / THREAD_KB);
+    }
+
+    /** How many there may be at once, by the memory stated. */
+    int most() {
+        return most;
+    }
+
+    /** Whether so many more may start. */
+    boolean room(int more) {
+        return inUse.get() + more <= most;
+    }
+
+    Thread make(Runnable task) {
+        Thread thread = new Thread(null, task, "router-" + number.incrementAndGet(), STACK);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        inUse.incrementAndGet();
+        boolean started = false;
+        try {
+            pool.execute(() -> {
+                try {
+                    task.run();
+                } finally {
+                    inUse.decrementAndGet();
+                }
+            });
+            started = true;
+        } finally {
+            if (!started) {
+                inUse.decrementAndGet();
+            }
+        }
+    }
+}
--- a/src/test/java/beaconladder/serve/ServeIT.java
+++ b/src/test/java/beaconladder/serve/ServeIT.java
@@ -44,6 +44,7 @@
     private final List<AutoCloseable> open = new ArrayList<>();
     private final StringBuilder trace = new StringBuilder();
     private int sockets = 1024;
+    private int memory = 192;
     private HostStandIn a;
     private HostStandIn b;
     private DiscoveryStandIn discovery;
@@ -319,7 +320,7 @@
         assertThat(b.sawBefore("id=own", after)).isFalse();
     }
 
-    /** A probe has to bring position and role, else a held read learns nothing of a replica that caught up. */
+    /** A probe has to bring position and role, else a held read can't learn that a replica caught up. */
     @Test
     void aHeldReadLearnsFromAProbeThatAReplicaHasCaughtUp() throws Exception {
         start();
@@ -421,6 +422,31 @@
         assertThat(trace.toString()).isEqualTo("the newest of 30 I Z\nthe oldest closed\n");
     }
 
+    /** The least memory has room for 64 threads: 20 clients take one each, a txn in hand two more. */
+    @Test
+    void aTxnForWhichNoThreadIsLeftIsDeclinedAtOnce() throws Exception {
+        memory = 1;
+        start();
+        b.delayMillis = 1000;
+        List<Caller> callers = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            callers.add(caller());
+        }
+        for (Caller c : callers) {
+            Outbox.query(read("x", 2000)).writeTo(c.out);
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+        // Those without a thread have their answer while the others still wait for the host.
+        List<String> early = new ArrayList<>();
+        for (Caller c : callers) {
+            if (c.waiting() > 0) {
+                early.add(c.answer());
+            }
+        }
+        assertThat(early).isNotEmpty().hasSizeLessThan(25).containsOnly("E:53300 Z");
+        assertThat(router.threads()).isLessThan(100);
+    }
+
     // ---- Discovery ----------------------------------------------------------------------------------------
 
     @Test
@@ -602,14 +628,15 @@
                 .collect(Collectors.joining(","));
         return """
                 {"name":"n0","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"1f",
-                 "limits":{"sockets":%d},"known":{"version":1,"full":true,"servers":[%s]},
+                 "limits":{"sockets":%d,"memory_mb":%d},"known":{"version":1,"full":true,"servers":[%s]},
                  "settings":{"family_info":{"freshness":["loose","recent","own_writes","update"],
                   "oldest_data_us":[0,500000,0,0],"session_marks":"client"},"fees":{"probe":0.069},
                   "limits":{"max_attempts":10,"second_copies":true,"cancel":true,"probes":true,
                    "dial_timeout_us":250000,"conn_idle_us":3000000},
                   "load_report":{"fields":["x0","x1","rif"],"how":"inline"},"parties":[{"name":"acme"}],
                   "round_us":5000,"replicas_of_me":1,"zones":["east","west"],"request_classes":[%s]}}"""
-                .formatted(port, discovery.door.getLocalPort(), sockets, a.entry("a", "Ready"), types);
+                .formatted(port, discovery.door.getLocalPort(), sockets, memory, a.entry("a", "Ready"),
+                        types);
     }
 
     /** The program, started by the line that operators use. */
@@ -716,6 +743,10 @@
             }
         }
 
+        int waiting() throws IOException {
+            return in.available();
+        }
+
         String rest() throws IOException {
             String all = answer();
             return all.endsWith("closed") ? all : all + " " + rest();
