Txns that live by a long lost primary are given up at half of their time

A trace of each txn's end named them: 78 writes held to 2.9 of 3.0 s, 119 bounded reads held to 0.7 of 0.92 s, all in groups whose primary had been silent for 1 to 8 s. Excluded: txns short of room (none so held), lateness.

At fault: decide gave up by lastUse alone. Now also when the outage is 2.3 times as old as the use that is left.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -115,7 +115,7 @@
         if (out > 0) {
             return copy(txn, now);
         }
-        if (txn.submissions.size() >= mostSubmissions(txn) || now >= lastUse(txn)) {
+        if (txn.submissions.size() >= mostSubmissions(txn) || now >= lastUse(txn) || hopeless(txn, now)) {
             return giveUp(txn, now);
         }
         txn.want = Txn.Want.NOTHING;
@@ -130,8 +130,7 @@
 
     /** The host that gets this txn now, or null: it waits. */
     private Host choose(Txn txn, long now) {
-        Read read = txn.type.read();
-        if (read == Read.WRITE || read == Read.CURRENT) {
+        if (txn.type.read().atPrimary()) {
             return primaryFor(txn, now);
         }
         Host replica = replicaFor(txn, now);
@@ -236,10 +235,6 @@
         return (0.1 * ill + (1 - rarely) * well) / (ill + well);
     }
 
-    private boolean slow(Host host, long now) {
-        return success(host, now) < 0.4;
-    }
-
     /** Whether the host spoke lately, or answers this router so often that its times tell as much. */
     private boolean informed(Host host, long now) {
         return now - host.saidAt <= YOUNG || host.times.since(now - 3_000 * MS) >= 4;
@@ -328,9 +323,6 @@
     }
 
     private long sessionTarget(Txn txn) {
-        if (txn.type.read() != Read.SESSION) {
-            return UNBOUND;
-        }
         if (!"router".equals(start.get("family_info.session_marks"))) {
             return txn.written;
         }
@@ -412,6 +404,23 @@
         return Math.min(end - txn.group.times.quantile(0.4), lastMoment(txn));
     }
 
+    /**
+     * A txn that lives by the primary, never sent, is given up at half of its time where that is long lost,
+     * so that its client may try again: an outage of T so far ends within r with chance r / (T + r), and at
+     * under three in ten a late answer isn't worth it. Harm: an outage's end finds fewer of them here.
+     */
+    private boolean hopeless(Txn txn, long now) {
+        Host primary = txn.group.primary;
+        boolean lost = primary == null || !primary.met || doubtful(primary, now);
+        long since = primary == null ? txn.group.lostAt : primary.lastHeard;
+        return lost && since != UNBOUND && txn.type.read().needsPrimary() && txn.submissions.isEmpty()
+                && now >= half(txn) && now - since > 2.3 * (lastUse(txn) - now);
+    }
+
+    private long half(Txn txn) {
+        return (txn.arrived + lastMoment(txn)) / 2;
+    }
+
     /** Late answers that earn nothing are not waited for. */
     private long timeout(Txn txn, long now) {
         boolean late = txn.type.late() > 0 || txn.type.effect() != Effect.REPEATABLE;
@@ -425,8 +434,8 @@
 
     private long nextLook(Txn txn, long now) {
         long look = lastUse(txn);
-        if (now < release(txn)) {
-            look = Math.min(look, release(txn));
+        for (long moment : new long[] {release(txn), half(txn)}) {
+            look = now < moment ? Math.min(look, moment) : look;
         }
         // Draws for doubtful hosts and the budget of cold ones change with time alone.
         return Math.max(now + 5 * MS, Math.min(look, now + (txn.want == Txn.Want.NOTHING ? 100 * MS : MUTE)));
@@ -461,7 +470,7 @@
         int routers = Integer.parseInt(start.getOrDefault("replicas_of_me", "1"));
         boolean crowds = txn.type.read() == Read.ANY && host.lag > tightest / 2 && !farBehind(host);
         if (host.times.since(since) < 4) {
-            if (slow(host, now)) {
+            if (success(host, now) < 0.4) {
                 // One at a time over all routers keeps it busy, lets a queue that starves it run off, and
                 // shows when it has recovered.
                 return host.out.isEmpty() && now - host.sentAt >= routers * paces.mean();
@@ -649,10 +658,9 @@
     @Override
     public boolean stands(Submission s, long now) {
         Host host = s.host;
-        Read read = s.txn.type.read();
         return !s.txn.ended && now < s.txn.expiry && host.state == Host.State.READY
-                && (host == host.group.primary || read != Read.WRITE && read != Read.CURRENT
-                && host.position >= target(s.txn, now));
+                && (host == host.group.primary
+                || !s.txn.type.read().atPrimary() && host.position >= target(s.txn, now));
     }
 
     /** A second less than the stated time: a host's clock of idleness runs from an earlier byte than ours. */
--- a/src/main/java/beaconladder/fleet/TxnType.java
+++ b/src/main/java/beaconladder/fleet/TxnType.java
@@ -18,7 +18,19 @@
         Samples served) {
 
     /** What data a txn type needs. */
-    public enum Read { ANY, BOUNDED, SESSION, CURRENT, WRITE }
+    public enum Read {
+        ANY, BOUNDED, SESSION, CURRENT, WRITE;
+
+        /** Whether only the primary can take it. */
+        public boolean atPrimary() {
+            return this == CURRENT || this == WRITE;
+        }
+
+        /** Whether its group has to have a primary, to take it or to keep the replicas young. */
+        public boolean needsPrimary() {
+            return atPrimary() || this == BOUNDED;
+        }
+    }
 
     /** What a repeat does. */
     public enum Effect { REPEATABLE, REFERENCED, ONCE_ONLY }
--- a/src/test/java/beaconladder/LogicTest.java
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -476,4 +476,17 @@
                 0   send 3 to b for 290
                 """);
     }
+
+    /** The primary is lost at 100: a write of then may outlast the outage, one of four seconds later is told. */
+    @Test
+    void aWriteInALongOutageIsGivenUpAtHalfOfItsTime() {
+        Script s = Script.warm().ask(1, WRITE, 0, 2000).tick(90).end(1, Outcome.COMMITTED, Role.PRIMARY, 90)
+                .ask(2, WRITE, 0, 2000).tick(100).end(2, Outcome.UNREACHABLE).quiet().tick(4100)
+                .ask(3, WRITE, 0, 2000).tick(6100);
+        assertThat(s.trace().replaceAll(".*probe.*\n", "")).isEqualTo("""
+                2000   decline 2
+                4100 ask 3 write
+                5095   decline 3
+                """);
+    }
 }
