--- a/src/test/java/beaconladder/LogicTest.java
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -477,7 +477,7 @@
                 """);
     }
 
-    /** The primary is lost at 100: a write of then may outlast the outage, one of four seconds later is told. */
+    /** The primary is lost at 100: a write of then may outlast that, one of four seconds later is told. */
     @Test
     void aWriteInALongOutageIsGivenUpAtHalfOfItsTime() {
         Script s = Script.warm().ask(1, WRITE, 0, 2000).tick(90).end(1, Outcome.COMMITTED, Role.PRIMARY, 90)
