--- a/src/main/java/beaconladder/roster/Watch.java
+++ b/src/main/java/beaconladder/roster/Watch.java
@@ -48,14 +48,23 @@
     public void run() {
         HttpGet http = new HttpGet(discovery);
         int pause = FIRST_RETRY_MILLIS;
+        String trouble = null;
         while (!stopped) {
             try {
                 String path = version < 0 ? "/v1/servers"
                         : "/v1/servers?index=" + version + "&wait=" + WAIT_MILLIS;
                 take(http.get(path, (version < 0 ? 0 : WAIT_MILLIS) + LATE_MILLIS));
                 pause = FIRST_RETRY_MILLIS;
+                if (trouble != null) {
+                    LOG.info("discovery answers again");
+                    trouble = null;
+                }
             } catch (IOException | Json.Fault e) {
-                LOG.warn("discovery: {}; the last list stands", e.getMessage());
+                // Once is enough while it stays the same: it is tried twice a second.
+                if (!String.valueOf(e.getMessage()).equals(trouble)) {
+                    trouble = String.valueOf(e.getMessage());
+                    LOG.warn("discovery: {}; the last list stands", trouble);
+                }
                 pause = rest(pause);
             } catch (RuntimeException | Error e) {
                 LOG.error("discovery: the last list stands", e);
