--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -207,11 +207,7 @@
 
     /** What the host said that it holds, and what this router has sent it since. */
     private double load(Host host) {
-        double load = host.holds;
-        for (Submission s : host.out) {
-            load += s.sent >= host.saidAt ? 1 : 0;
-        }
-        return load;
+        return host.holds + host.sentSince(host.saidAt);
     }
 
     /**
@@ -258,13 +254,14 @@
         return (int) Math.max(1, Math.min(1_000, 0.15 * txn.type.value() / (fee("probe") * meanValue())));
     }
 
+    /** The value of the txns that came last. */
+    private double asked() {
+        return types.stream().mapToDouble(type -> mix.count(type.place()) * type.value()).sum();
+    }
+
     /** The mean value of the txns that come here, in which prices are reckoned. */
     private double meanValue() {
-        double sum = 0;
-        for (TxnType type : types) {
-            sum += mix.count(type.place()) * type.value();
-        }
-        return mix.size() == 0 ? topValue : sum / mix.size();
+        return mix.size() == 0 ? topValue : asked() / mix.size();
     }
 
     /**
@@ -533,10 +530,7 @@
      * small for the longest time it may need.
      */
     private void drawTickets(Group group, long now) {
-        int ready = 0;
-        for (Host host : group.members) {
-            ready += host.state == Host.State.READY ? 1 : 0;
-        }
+        int ready = group.ready();
         for (Host host : group.members) {
             if (cold(host, now) && host.state == Host.State.READY) {
                 double least = Double.parseDouble(start.getOrDefault("rules.cold_share", "0"));
@@ -580,11 +574,7 @@
      * chance e^-x.
      */
     private double silence(Host host, long now) {
-        double waited = 0;
-        for (Submission s : host.out) {
-            waited += now - Math.max(s.sent, host.lastHeard);
-        }
-        return waited / usual(host);
+        return (double) host.waited(now) / usual(host);
     }
 
     /** Chance e^-6 a look: a heavy txn alone at a host is still given six usual times. */
@@ -699,9 +689,7 @@
             if (host.lastHeard < s.sent) {
                 host.ends.add(0, 0, now);
             }
-            if (outcome == Outcome.UNREACHABLE) {
-                host.met = false;
-            }
+            host.met &= outcome != Outcome.UNREACHABLE;
             if (outcome == Outcome.TIMED_OUT) {
                 host.times.add(now - s.sent, s.beside, now);
                 // At a host far more crowded than usual a time-out tells of the crowd; elsewhere of the host.
@@ -833,6 +821,21 @@
         }
     }
 
+    /** Rule 3 binds by what is listed, so a host that is gone is kept for the sake of its submissions alone. */
+    @Override
+    public boolean forget(Host host, long now) {
+        host.abandoned.removeIf(old -> now > old.txn.expiry);
+        if (!host.out.isEmpty() || !host.abandoned.isEmpty() || host.probeOut) {
+            return false;
+        }
+        idle.remove(host);
+        host.group.remove(host);
+        if (host.group.primary == host) {
+            lose(host.group, now);
+        }
+        return true;
+    }
+
     @Override
     public Verdict left(Txn txn, long now) {
         drop(txn);
@@ -882,13 +885,12 @@
     private double[] weights() {
         double[] weights = new double[types.size()];
         double worst = 1;
-        double asked = 0;
+        double asked = Math.max(1, asked());
         for (TxnType type : types) {
             worst = type.served().size() < 8 ? worst : Math.min(worst, type.served().mean());
-            asked += mix.count(type.place()) * type.value();
         }
         for (TxnType type : types) {
-            double part = Math.max(0.05, mix.count(type.place()) * type.value() / Math.max(1, asked));
+            double part = Math.max(0.05, mix.count(type.place()) * type.value() / asked);
             // Within a tenth of the worst a type may be the worst one soon: samples of 64 are as rough as
             // that.
             boolean behind = type.served().size() >= 8 && type.served().mean() <= worst + 0.1;
--- a/src/main/java/beaconladder/api/Router.java
+++ b/src/main/java/beaconladder/api/Router.java
@@ -70,6 +70,9 @@
     /** The roster lists a host (or no longer does: then its state is gone). */
     void listed(Host host, boolean leader, Host.State state, long launched, long now);
 
+    /** Lets go of a host that is gone; false while something that was sent to it may still matter. */
+    boolean forget(Host host, long now);
+
     /** A probe came back. */
     void probed(Host host, Outcome outcome, Word report, long now);
 
--- a/src/main/java/beaconladder/app/Main.java
+++ b/src/main/java/beaconladder/app/Main.java
@@ -2,7 +2,6 @@
 
 import beaconladder.drill.Drill;
 import beaconladder.drill.WireException;
-import beaconladder.roster.Json;
 import beaconladder.serve.Serve;
 import java.io.BufferedOutputStream;
 import java.io.FileDescriptor;
@@ -10,10 +9,9 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
-import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
-import java.util.Map;
+import java.util.concurrent.Semaphore;
 
 /** The command line: one subcommand a way of running the router's decisions. */
 public final class Main {
@@ -48,15 +46,25 @@
     }
 
     private static void serve() {
+        // First of all, since the JVM ends on this signal as long as nobody takes it.
+        Semaphore hangups = new Semaphore(0);
+        takeHangups(hangups);
         String file = System.getenv("BALANCER_CONFIG");
         try {
             if (file == null) {
                 throw new IOException("BALANCER_CONFIG names no file");
             }
-            if (!(Json.read(Files.readString(Path.of(file))) instanceof Map<?, ?> stated)) {
-                throw new IOException("no JSON object in " + file);
-            }
-            Serve router = new Serve(stated);
+            Serve router = new Serve(Path.of(file));
+            Thread reloads = new Thread(() -> {
+                while (true) {
+                    hangups.acquireUninterruptibly();
+                    hangups.drainPermits();
+                    router.reload();
+                }
+            }, "reloads");
+            reloads.setDaemon(true);
+            reloads.start();
+            router.start();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 try {
                     router.drain();
@@ -67,13 +75,18 @@
                 Runtime.getRuntime().halt(0);
             }));
             Thread.currentThread().join();
-        } catch (IOException | Json.Fault | InvalidPathException | NumberFormatException e) {
+        } catch (IOException | InvalidPathException e) {
             fail(e.getMessage());
         } catch (InterruptedException e) {
             fail("interrupted");
         }
     }
 
+    @SuppressWarnings("sunapi")
+    private static void takeHangups(Semaphore hangups) {
+        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> hangups.release());
+    }
+
     private static void fail(String message) {
         System.err.println("beaconladder: " + message);
         System.exit(1);
--- a/src/main/java/beaconladder/fleet/Group.java
+++ b/src/main/java/beaconladder/fleet/Group.java
@@ -8,7 +8,7 @@
 /** A primary and its replicas. */
 public final class Group {
     public final int number;
-    /** All members that the roster has ever named, in the order in which they were named. */
+    /** The members that the roster has named, in that order; one that is gone stays until it is let go. */
     public final List<Host> members = new ArrayList<>();
     /** The member taken for the primary, or null. */
     public Host primary;
@@ -30,4 +30,19 @@
     public Group(int number) {
         this.number = number;
     }
+
+    /** How many members are listed as ready. */
+    public int ready() {
+        int n = 0;
+        for (Host host : members) {
+            n += host.state == Host.State.READY ? 1 : 0;
+        }
+        return n;
+    }
+
+    /** A member that is gone for good. */
+    public void remove(Host host) {
+        members.remove(host);
+        namedByRoster = namedByRoster == host ? null : namedByRoster;
+    }
 }
--- a/src/main/java/beaconladder/fleet/Host.java
+++ b/src/main/java/beaconladder/fleet/Host.java
@@ -58,4 +58,22 @@
         this.group = group;
         this.zone = zone;
     }
+
+    /** How many of the submissions out were sent at or after this time. */
+    public int sentSince(long time) {
+        int n = 0;
+        for (Submission s : out) {
+            n += s.sent >= time ? 1 : 0;
+        }
+        return n;
+    }
+
+    /** How long the submissions out have waited since it last spoke, added up. */
+    public long waited(long now) {
+        long sum = 0;
+        for (Submission s : out) {
+            sum += now - Math.max(s.sent, lastHeard);
+        }
+        return sum;
+    }
 }
--- a/src/main/java/beaconladder/pg/Inbox.java
+++ b/src/main/java/beaconladder/pg/Inbox.java
@@ -4,6 +4,8 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
@@ -11,15 +13,21 @@
 public final class Inbox {
 
     /** What became of a wait for a message. */
-    public enum Got { MESSAGE, CLOSED, CUT, TIMED_OUT, MALFORMED }
+    public enum Got { MESSAGE, CLOSED, CUT, TIMED_OUT, MALFORMED, NO_ROOM }
 
     /** A value of 64 KiB is twice that in hex; the rest leaves room for the statement round it. */
     public static final int BOUND = 256 * 1024;
     /** Holds the statements in use; larger values make it grow for as long as they are there. */
     private static final int USUAL = 2048;
 
+    /** Names and options alone; PostgreSQL takes as much. */
+    private static final int LONGEST_OPENING = 10_000;
+
     private final Socket socket;
     private final InputStream in;
+    private final Room room;
+    /** When the message that is coming in began, or 0. */
+    private long begunAt;
     private byte[] buffer = new byte[USUAL];
     private int from;
     private int to;
@@ -27,40 +35,49 @@
     private int at;
     private int end;
 
-    public Inbox(Socket socket) throws IOException {
+    public Inbox(Socket socket, Room room) throws IOException {
         this.socket = socket;
+        this.room = room;
         this.in = socket.getInputStream();
     }
 
-    /** Waits for the next message; until is a nanoTime, or 0 for no end. */
-    public Got next(long until) {
-        return next(1, until);
+    /**
+     * Waits for the next message.
+     *
+     * @param until a nanoTime by which it has to be there, or 0 for no end
+     * @param whole once it has begun, all of it has to be there within so many nanoseconds
+     */
+    public Got next(long until, long whole) {
+        return next(1, until, whole, BOUND);
     }
 
     /** The first message of a client, which has no type. */
     public Got opening(long until) {
-        return next(0, until);
+        return next(0, until, Long.MAX_VALUE, LONGEST_OPENING);
     }
 
-    private Got next(int head, long until) {
+    private Got next(int head, long until, long whole, int most) {
         from = end;
-        Got got = fill(head + 4, until);
+        begunAt = 0;
+        Got got = fill(head + 4, until, whole);
         if (got != Got.MESSAGE) {
             return got;
         }
         type = head == 0 ? 0 : (char) (buffer[from] & 0xff);
         int length = int32(from + head);
-        if (length < 4 || length > BOUND) {
+        if (length < 4 || length > most) {
             return Got.MALFORMED;
         }
-        got = fill(head + length, until);
-        at = from + head + 4;
-        end = from + head + length;
+        got = fill(head + length, until, whole);
+        if (got == Got.MESSAGE) {
+            at = from + head + 4;
+            end = from + head + length;
+        }
         return got;
     }
 
     /** Reads until this many bytes of the message are there; the buffer grows by what came, not by claims. */
-    private Got fill(int bytes, long until) {
+    private Got fill(int bytes, long until, long whole) {
         while (to - from < bytes) {
             if (from > 0 && (from == to || from + bytes > buffer.length)) {
                 System.arraycopy(buffer, from, buffer, 0, to - from);
@@ -68,23 +85,34 @@
                 end -= from;
                 from = 0;
                 if (to == 0 && buffer.length > USUAL) {
-                    buffer = new byte[USUAL];
+                    release();
                 }
             }
             if (to == buffer.length) {
-                buffer = Arrays.copyOf(buffer, Math.min(2 * buffer.length, BOUND + 5));
+                int larger = Math.min(2 * buffer.length, BOUND + 5);
+                if (!room.take(larger - buffer.length)) {
+                    return Got.NO_ROOM;
+                }
+                buffer = Arrays.copyOf(buffer, larger);
+            }
+            long now = System.nanoTime();
+            long left = until == 0 ? Long.MAX_VALUE : until - now;
+            if (to > from) {
+                begunAt = begunAt == 0 ? now : begunAt;
+                left = Math.min(left, whole == Long.MAX_VALUE ? left : begunAt + whole - now);
+            } else {
+                begunAt = 0;
             }
             try {
-                if (until != 0) {
-                    long left = until - System.nanoTime();
-                    if (left <= 0) {
-                        return Got.TIMED_OUT;
-                    }
-                    // The kernel may end a wait late by a two-hundredth of its length (15 ms of 3 s were
-                    // seen), so all but a sixty-fourth is waited for first and then the rest.
-                    long millis = (left + 999_999) / 1_000_000;
-                    socket.setSoTimeout((int) Math.min(Integer.MAX_VALUE, millis - millis / 64));
+                // What is there already counts as in time: it may be this thread that comes late.
+                if (left <= 0 && in.available() == 0) {
+                    return Got.TIMED_OUT;
                 }
+                // The kernel may end a wait late by a two-hundredth of its length (15 ms of 3 s were
+                // seen), so all but a sixty-fourth is waited for first and then the rest.
+                long millis = Math.max(1, (left + 999_999) / 1_000_000);
+                socket.setSoTimeout(left == Long.MAX_VALUE ? 0
+                        : (int) Math.min(Integer.MAX_VALUE, millis - millis / 64));
                 int n = in.read(buffer, to, buffer.length - to);
                 if (n < 0) {
                     return to == from ? Got.CLOSED : Got.CUT;
@@ -93,12 +121,26 @@
             } catch (SocketTimeoutException e) {
                 continue;
             } catch (IOException e) {
-                return Got.CUT;
+                return to == from ? Got.CLOSED : Got.CUT;
             }
         }
         return Got.MESSAGE;
     }
 
+    /** Gives back the memory of large messages; to be called at the end, too. */
+    public void release() {
+        room.give(buffer.length - USUAL);
+        buffer = new byte[USUAL];
+        from = 0;
+        to = 0;
+        end = 0;
+    }
+
+    /** Whether bytes beyond the current message have come in. */
+    public boolean more() {
+        return to > end;
+    }
+
     public char type() {
         return type;
     }
@@ -140,6 +182,61 @@
         return Math.min(end, zero + 1);
     }
 
+    /** Whether the current message is this many texts, each with its zero byte, and nothing else. */
+    public boolean texts(int count) {
+        int zeros = 0;
+        for (int i = at; i < end; i++) {
+            zeros += buffer[i] == 0 ? 1 : 0;
+        }
+        return zeros == count && end > at && buffer[end - 1] == 0;
+    }
+
+    /** The text of a message that is one valid UTF-8 text with its zero byte, or null. */
+    public String onlyText() {
+        if (!texts(1)) {
+            return null;
+        }
+        try {
+            return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(buffer, at, end - 1 - at))
+                    .toString();
+        } catch (CharacterCodingException e) {
+            return null;
+        }
+    }
+
+    /** Whether the current message describes rows of one column. */
+    public boolean describesOneColumn() {
+        int named = at + 2;
+        while (named < end && buffer[named] != 0) {
+            named++;
+        }
+        return end - at > 2 && int16(at) == 1 && end == named + 1 + 18;
+    }
+
+    /** Whether the current message is a row of one column, with a value. */
+    public boolean isRowOfOne() {
+        return end - at >= 6 && int16(at) == 1 && int32(at + 2) == end - at - 6;
+    }
+
+    /** Whether the current message is an error, all of its fields whole, with severity and code. */
+    public boolean isError() {
+        int i = at;
+        while (i < end && buffer[i] != 0) {
+            int next = after(i);
+            if (buffer[next - 1] != 0) {
+                return false;
+            }
+            i = next;
+        }
+        String code = errorField('C');
+        return i == end - 1 && errorField('S') != null && code != null && code.length() == 5
+                && code.chars().allMatch(c -> c >= '0' && c <= '9' || c >= 'A' && c <= 'Z');
+    }
+
+    private int int16(int place) {
+        return (buffer[place] & 0xff) << 8 | buffer[place + 1] & 0xff;
+    }
+
     /** The current message as it came, type and length included. */
     public void copyTo(Outbox out) {
         out.raw(buffer, from, end - from);
--- a/src/main/java/beaconladder/roster/HttpGet.java
+++ b/src/main/java/beaconladder/roster/HttpGet.java
@@ -14,29 +14,49 @@
     /** A list of some thousand hosts; a body is refused beyond it. */
     private static final int LONGEST_BODY = 4 << 20;
     private static final int LONGEST_LINE = 8192;
+    /** Headers and chunks of one answer; agents send a dozen. */
+    private static final int MOST_LINES = 4096;
     private static final int CONNECT_MILLIS = 1_000;
 
     private final InetSocketAddress address;
-    private Socket socket;
+    private volatile Socket socket;
+    private volatile boolean ended;
     private InputStream in;
+    private int lines;
 
     HttpGet(InetSocketAddress address) {
         this.address = address;
     }
 
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** Ends this for good, also a call in hand at another thread. */
+    void end() {
+        ended = true;
+        close();
+    }
+
     /** The body of a 200 answer; anything else is an exception, after which the connection is a new one. */
     String get(String path, int millis) throws IOException {
         boolean keep = false;
         try {
-            if (socket == null) {
-                socket = new Socket();
-                socket.setTcpNoDelay(true);
-                socket.connect(address, CONNECT_MILLIS);
-                in = new BufferedInputStream(socket.getInputStream(), 4096);
+            Socket now = socket;
+            if (now == null) {
+                now = new Socket();
+                socket = now;
+                if (ended) {
+                    throw new IOException("the address has changed");
+                }
+                now.setTcpNoDelay(true);
+                now.connect(address, CONNECT_MILLIS);
+                in = new BufferedInputStream(now.getInputStream(), 4096);
             }
-            socket.setSoTimeout(millis);
+            now.setSoTimeout(millis);
+            lines = 0;
             String host = address.getHostString() + ":" + address.getPort();
-            socket.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: " + host
+            now.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: " + host
                     + "\r\nAccept: application/json\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
             String status = line();
             if (!status.startsWith("HTTP/1.")) {
@@ -59,7 +79,7 @@
             byte[] body = chunked ? chunks() : length >= 0 ? exactly(length) : rest();
             keep &= chunked || length >= 0;
             if (!status.matches("HTTP/1\\.[01] 200( .*)?")) {
-                throw new IOException("answered " + status.substring(Math.min(9, status.length())));
+                throw new IOException("answered " + status.substring(Math.min(9, status.length()), Math.min(80, status.length())));
             }
             return new String(body, StandardCharsets.UTF_8);
         } catch (IOException | RuntimeException e) {
@@ -72,10 +92,11 @@
         }
     }
 
-    void close() {
+    private void close() {
+        Socket now = socket;
         try {
-            if (socket != null) {
-                socket.close();
+            if (now != null) {
+                now.close();
             }
         } catch (IOException e) {
             // It is gone either way.
@@ -132,6 +153,9 @@
 
     private String line() throws IOException {
         StringBuilder line = new StringBuilder();
+        if (++lines > MOST_LINES) {
+            throw new IOException("an answer without end");
+        }
         while (true) {
             int c = in.read();
             if (c < 0 || line.length() > LONGEST_LINE) {
--- a/src/main/java/beaconladder/roster/Watch.java
+++ b/src/main/java/beaconladder/roster/Watch.java
@@ -33,33 +33,64 @@
         void listed(boolean whole, List<Entry> entries);
     }
 
-    private final InetSocketAddress discovery;
+    /** News come seldom; an agent that answers at once without any is not asked again in a spin. */
+    private static final int SHORTEST_MILLIS = 100;
+
     private final Listener listener;
-    private long version = -1;
+    /** The calls to the present address; those to an earlier one are ended. */
+    private volatile HttpGet http;
     private volatile boolean answered;
     private volatile boolean stopped;
 
     public Watch(InetSocketAddress discovery, Listener listener) {
-        this.discovery = discovery;
+        this.http = new HttpGet(discovery);
         this.listener = listener;
     }
 
+    /** Discovery is to be asked at this address from now on, for the whole list first. */
+    public synchronized void moveTo(InetSocketAddress discovery) {
+        HttpGet before = http;
+        if (!before.address().equals(discovery)) {
+            http = new HttpGet(discovery);
+            before.end();
+        }
+    }
+
     @Override
     public void run() {
-        HttpGet http = new HttpGet(discovery);
+        HttpGet asked = null;
+        long version = -1;
         int pause = FIRST_RETRY_MILLIS;
         String trouble = null;
         while (!stopped) {
+            if (asked != http) {
+                // Versions are of the address that gave them.
+                asked = http;
+                version = -1;
+                pause = FIRST_RETRY_MILLIS;
+            }
+            long from = System.nanoTime();
             try {
                 String path = version < 0 ? "/v1/servers"
                         : "/v1/servers?index=" + version + "&wait=" + WAIT_MILLIS;
-                take(http.get(path, (version < 0 ? 0 : WAIT_MILLIS) + LATE_MILLIS));
+                String body = asked.get(path, (version < 0 ? 0 : WAIT_MILLIS) + LATE_MILLIS);
+                if (asked != http) {
+                    continue;
+                }
+                long before = version;
+                version = take(body);
                 pause = FIRST_RETRY_MILLIS;
                 if (trouble != null) {
                     LOG.info("discovery answers again");
                     trouble = null;
                 }
+                if (version == before && System.nanoTime() - from < SHORTEST_MILLIS * 1_000_000L) {
+                    rest(FIRST_RETRY_MILLIS);
+                }
             } catch (IOException | Json.Fault e) {
+                if (asked != http) {
+                    continue;
+                }
                 // Once is enough while it stays the same: it is tried twice a second.
                 if (!String.valueOf(e.getMessage()).equals(trouble)) {
                     trouble = String.valueOf(e.getMessage());
@@ -71,7 +102,7 @@
                 pause = rest(pause);
             }
         }
-        http.close();
+        http.end();
     }
 
     /** Whether discovery has answered yet. */
@@ -92,21 +123,22 @@
         return Math.min(2 * millis, LAST_RETRY_MILLIS);
     }
 
-    private void take(String body) throws Json.Fault, IOException {
+    /** Tells the news; returns their version. */
+    private long take(String body) throws Json.Fault, IOException {
         if (!(Json.read(body) instanceof Map<?, ?> news)) {
             throw new IOException("no list of hosts");
         }
         List<Entry> entries = entries(news);
         boolean whole = Boolean.TRUE.equals(news.get("full"));
         // Without a version the next call would ask for the whole list again, in a spin.
-        if (!(news.get("version") instanceof BigDecimal number)) {
+        if (!(news.get("version") instanceof BigDecimal number) || number.signum() < 0) {
             throw new IOException("a list without its version");
         }
         if (whole || !entries.isEmpty()) {
             listener.listed(whole, entries);
         }
-        version = number.longValue();
         answered = true;
+        return number.longValue();
     }
 
     /** The entries of a list; one that can't be read makes the whole of it void. */
--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -27,11 +27,27 @@
     private static final int GSSENC = 80877104;
     /** So many queries written ahead are read; further ones wait in the socket. */
     private static final int AHEAD = 64;
+    /** And no more of them than a query of the longest kind takes. */
+    private static final int AHEAD_CHARS = Inbox.BOUND / 2;
+    /** A startup message is due so long after the connection, and the rest of a message after its first byte. */
+    private static final long OPENING = 2_000_000_000L;
+    private static final long WHOLE = 2_000_000_000L;
+    /** A client that takes in nothing of what is written to it for so long is given up. */
+    private static final long STUCK = 5_000_000_000L;
+    /** So much of what a client still sends is read after its end was told, so that it sees the message. */
+    private static final int WASTE = 64 * 1024;
+    /** Ids are short, and no client waits ten minutes; what is beyond is no id and no deadline. */
+    private static final int LONGEST_ID = 128;
+    private static final int LONGEST_MILLIS = 600_000;
+    private static final int LAST_LOOK_MILLIS = 50;
     /** What a client still sends after its end was told is read so long; networks need far less. */
     static final long LINGER = 500_000_000L;
 
-    /** A piece of work for the task: a query to answer, or, without one, messages to write. */
+    /** A piece of work for the task: messages to write, or, without, a query (null where it was no UTF-8). */
     private record Work(String query, long arrived, Outbox messages, boolean last) {
+        int length() {
+            return query == null ? 0 : query.length();
+        }
     }
 
     private final Clients clients;
@@ -39,11 +55,16 @@
     private final Lines lines;
     private final Socket socket;
     private final ArrayDeque<Work> work = new ArrayDeque<>();
+    private int ahead;
     private boolean busy;
     private boolean over;
     private Hand hand;
     /** When it last did something, on System.nanoTime's clock. */
     private volatile long usedAt = System.nanoTime();
+    /** When the write that is going on began, or 0. */
+    private volatile long writesSince;
+    /** Whether it has asked for something that is served here. */
+    private volatile boolean known;
     /** When its end was told, or 0. */
     private volatile long endedAt;
 
@@ -62,9 +83,10 @@
 
     @Override
     public void run() {
+        Inbox in = null;
         try {
             socket.setTcpNoDelay(true);
-            Inbox in = new Inbox(socket);
+            in = new Inbox(socket, clients.room());
             if (!greet(in) || !read(in)) {
                 linger();
             }
@@ -74,20 +96,27 @@
             LOG.error("a client's connection ends", e);
         } finally {
             leave();
+            if (in != null) {
+                in.release();
+            }
         }
     }
 
     /** The opening; false when the client is sent away. */
     private boolean greet(Inbox in) throws IOException {
+        long until = usedAt + OPENING;
         while (true) {
-            Got got = in.opening(0);
-            if (got == Got.MALFORMED) {
-                return fatal("08P01", "a startup message of impossible length");
+            Got got = in.opening(until);
+            if (got == Got.MALFORMED || got == Got.TIMED_OUT || got == Got.CUT || got == Got.NO_ROOM) {
+                return fatal("08P01", got == Got.TIMED_OUT ? "no startup message in time"
+                        : got == Got.CUT ? "a startup message that is cut off"
+                        : "a startup message of impossible length");
             }
-            if (got != Got.MESSAGE || in.end() - in.at() < 4) {
+            if (got != Got.MESSAGE) {
                 return true;
             }
-            int version = in.int32(in.at());
+            int length = in.end() - in.at();
+            int version = length < 4 ? 0 : in.int32(in.at());
             if (version == SSL || version == GSSENC) {
                 socket.getOutputStream().write('N');
             } else if (version == CANCEL) {
@@ -96,6 +125,8 @@
             } else if (version >> 16 != 3) {
                 return fatal("0A000", "protocol " + (version >> 16) + "." + (version & 0xffff)
                         + " is not spoken here, 3.0 is");
+            } else if (length < 5 || in.int8(in.end() - 1) != 0) {
+                return fatal("08P01", "a startup message without its end");
             } else {
                 Outbox out = new Outbox();
                 String[] unknown = unknownOptions(in);
@@ -108,6 +139,7 @@
                 send(out.authenticationOk().parameterStatus("server_version", "15.0")
                         .parameterStatus("client_encoding", "UTF8").parameterStatus("server_encoding", "UTF8")
                         .parameterStatus("standard_conforming_strings", "on").backendKey(0, 0).ready());
+                usedAt = System.nanoTime();
                 return true;
             }
         }
@@ -130,19 +162,24 @@
     private boolean read(Inbox in) throws IOException {
         boolean skipping = false;
         while (true) {
-            Got got = in.next(0);
-            if (got == Got.MALFORMED || got == Got.CUT) {
-                return sendAway(got == Got.CUT ? "a message that is cut off"
-                        : "a message of impossible length");
+            Got got = in.next(0, WHOLE);
+            if (got == Got.CLOSED) {
+                return true;
             }
             if (got != Got.MESSAGE) {
-                return true;
+                return sendAway(got == Got.CUT ? "a message that is cut off"
+                        : got == Got.TIMED_OUT ? "a message whose rest did not come in time"
+                        : got == Got.NO_ROOM ? "a long message while there is no room for more of them"
+                        : "a message of impossible length");
             }
             usedAt = System.nanoTime();
             switch (in.type()) {
                 case 'Q' -> {
+                    if (!in.texts(1)) {
+                        return sendAway("a query that is not one text");
+                    }
                     if (!skipping) {
-                        add(new Work(in.text(in.at()), desk.now(), null, false));
+                        add(new Work(in.onlyText(), desk.now(), null, false));
                     }
                 }
                 case 'X' -> {
@@ -173,10 +210,11 @@
 
     private void add(Work next) throws IOException {
         synchronized (this) {
-            while (work.size() >= AHEAD && !over) {
-                pause();
+            while ((work.size() >= AHEAD || ahead >= AHEAD_CHARS) && !over) {
+                pause(0);
             }
             work.add(next);
+            ahead += next.length();
             if (busy || over) {
                 return;
             }
@@ -188,7 +226,7 @@
                 busy = false;
             }
             // No thread is left to see a txn through: it is declined here, before it is taken in hand.
-            send(next.query() == null ? next.messages() : new Outbox().error("ERROR", "53300",
+            send(next.messages() != null ? next.messages() : new Outbox().error("ERROR", "53300",
                     "declined, as too many txns are in hand; it has not run", null).ready());
             if (next.last()) {
                 socket.shutdownOutput();
@@ -200,22 +238,31 @@
     private void linger() throws IOException {
         synchronized (this) {
             while (busy && !socket.isOutputShutdown()) {
-                pause();
+                pause(0);
             }
         }
         long until = System.nanoTime() + LINGER;
-        byte[] waste = new byte[512];
-        for (long left = LINGER; left > 0; left = until - System.nanoTime()) {
+        byte[] waste = new byte[4096];
+        int read = 0;
+        for (long left = LINGER; left > 0 && read < WASTE; left = until - System.nanoTime()) {
             socket.setSoTimeout((int) (left / 1_000_000) + 1);
-            if (socket.getInputStream().read(waste) < 0) {
+            int n = socket.getInputStream().read(waste);
+            if (n < 0) {
                 return;
             }
+            read += n;
+        }
+        if (read >= WASTE) {
+            // What comes on and on is not read; the sender has a moment to see why before it is reset.
+            synchronized (this) {
+                pause(LAST_LOOK_MILLIS);
+            }
         }
     }
 
-    private void pause() throws IOException {
+    private void pause(long millis) throws IOException {
         try {
-            wait();
+            wait(millis);
         } catch (InterruptedException e) {
             throw new IOException("interrupted", e);
         }
@@ -250,6 +297,11 @@
         }
     }
 
+    /** Whether its client has shown what it is here for. */
+    boolean known() {
+        return known;
+    }
+
     /** Whether its client has been told to go. */
     boolean ending() {
         return endedAt != 0;
@@ -257,7 +309,8 @@
 
     /** Closes what its client has not closed some time after its end. */
     void sweep(long now) {
-        if (endedAt != 0 && now - endedAt > LINGER) {
+        long writes = writesSince;
+        if (endedAt != 0 && now - endedAt > LINGER || writes != 0 && now - writes > STUCK) {
             close();
         }
     }
@@ -285,6 +338,7 @@
             Work next;
             synchronized (this) {
                 next = well ? work.poll() : null;
+                ahead -= next == null ? 0 : next.length();
                 notifyAll();
                 if (next == null) {
                     busy = false;
@@ -292,10 +346,12 @@
                 }
             }
             try {
-                if (next.query() != null) {
-                    answer(next.query(), next.arrived());
-                } else {
+                if (next.messages() != null) {
                     send(next.messages());
+                } else if (next.query() == null) {
+                    send(new Outbox().error("ERROR", "22021", "a query that is not UTF-8", null).ready());
+                } else {
+                    answer(next.query(), next.arrived());
                 }
                 if (next.last()) {
                     socket.shutdownOutput();
@@ -319,10 +375,18 @@
         }
     }
 
+    private static String firstWord(String text) {
+        int end = 0;
+        while (end < text.length() && Character.isLetter(text.charAt(end))) {
+            end++;
+        }
+        return text.substring(0, end).toUpperCase(Locale.ROOT);
+    }
+
     /** The life of one txn. */
     private void answer(String query, long arrived) throws IOException, InterruptedException {
         String plain = query.strip();
-        String first = plain.split("[\\s;]", 2)[0].toUpperCase(Locale.ROOT);
+        String first = firstWord(plain);
         if (plain.isEmpty() || plain.equals(";")) {
             send(new Outbox().emptyQuery().ready());
             return;
@@ -337,15 +401,16 @@
             send(new Outbox().error("ERROR", "42601", fault, null).ready());
             return;
         }
+        String id = statement.value("id");
         Integer type = desk.typePlace(String.valueOf(statement.value("c")));
         long cluster = number(statement.value("cluster"));
         Group group = cluster < 0 || cluster > Integer.MAX_VALUE ? null : desk.group((int) cluster);
         long budget = number(statement.value("d"));
         String after = statement.value("after");
         long written = after == null ? Word.NONE : Ending.nanos(after, 6);
-        String wrong = statement.value("id") == null || statement.value("id").isEmpty() ? "id"
+        String wrong = id == null || id.isEmpty() || id.length() > LONGEST_ID ? "id"
                 : type == null ? "c" : group == null ? "cluster"
-                : budget <= 0 || budget > 86_400_000 ? "d"
+                : budget <= 0 || budget > LONGEST_MILLIS ? "d"
                 : after != null && written == Word.NONE ? "after" : null;
         if (wrong != null) {
             String value = statement.value(wrong);
@@ -353,8 +418,13 @@
                     ? "the comment lacks " + wrong : "the comment has an impossible " + wrong, null).ready());
             return;
         }
-        Hand taken = desk.take(type, group, statement.session(), written, statement.value("t"),
+        known = true;
+        Hand taken = desk.take(id, type, group, statement.session(), written, statement.value("t"),
                 "1".equals(statement.value("r")), arrived, arrived + budget * 1_000_000);
+        if (taken == null) {
+            send(new Outbox().error("ERROR", "22023", "the id of a txn that is in hand", null).ready());
+            return;
+        }
         synchronized (this) {
             hand = taken;
         }
@@ -367,6 +437,7 @@
             synchronized (this) {
                 hand = null;
             }
+            desk.release(id);
         }
     }
 
@@ -402,12 +473,25 @@
     }
 
     private static long number(String digits) {
-        return digits == null || !digits.matches("[0-9]{1,15}") ? -1 : Long.parseLong(digits);
+        if (digits == null || digits.isEmpty() || digits.length() > 15) {
+            return -1;
+        }
+        long number = 0;
+        for (int i = 0; i < digits.length(); i++) {
+            int digit = digits.charAt(i) - '0';
+            if (digit < 0 || digit > 9) {
+                return -1;
+            }
+            number = 10 * number + digit;
+        }
+        return number;
     }
 
     private void send(Outbox out) throws IOException {
         if (out.size() > 0) {
+            writesSince = System.nanoTime();
             out.writeTo(socket.getOutputStream());
+            writesSince = 0;
         }
     }
 }
--- a/src/main/java/beaconladder/serve/Clients.java
+++ b/src/main/java/beaconladder/serve/Clients.java
@@ -1,5 +1,6 @@
 package beaconladder.serve;
 
+import beaconladder.pg.Room;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -7,6 +8,7 @@
 import java.util.Comparator;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -18,22 +20,29 @@
     private static final int BACKLOG = 1024;
     /** Who was busy so lately may have a query on its way. */
     private static final long LATELY = 100_000_000;
+    /** Clients that come back do so within a second or two; past that a connection is mostly left behind. */
+    private static final long LONG_IDLE = 2_500_000_000L;
 
     private final Desk desk;
     private final Lines lines;
     private final Threads threads;
+    private final Room room;
     private final int most;
     private final int mostClients;
+    /** So many connections may be held by those who have asked for nothing yet that is served here. */
+    private final int mostStrangers;
     private final Set<Client> all = ConcurrentHashMap.newKeySet();
     private ServerSocket listener;
     private volatile boolean draining;
     private volatile boolean closed;
 
-    Clients(Desk desk, Lines lines, Threads threads, int descriptors) {
+    Clients(Desk desk, Lines lines, Threads threads, Room room, int descriptors) {
         this.desk = desk;
         this.lines = lines;
         this.threads = threads;
+        this.room = room;
         this.most = Math.max(1, descriptors - RESERVE);
+        this.mostStrangers = Math.max(8, most / 5);
         // Half of the threads read for clients; a txn in hand takes two more, its task and its call.
         this.mostClients = threads.most() / 2;
     }
@@ -49,8 +58,11 @@
         while (!closed) {
             try {
                 Socket socket = listener.accept();
+                if (all.stream().filter(client -> !client.known()).count() >= mostStrangers) {
+                    closeOldest(client -> !client.known());
+                }
                 if (all.size() >= mostClients) {
-                    closeOldest();
+                    closeOldest(client -> true);
                 } else if (all.size() + lines.open() >= most) {
                     makeRoom();
                 }
@@ -73,17 +85,19 @@
         }
     }
 
-    /** Connections that lie idle go first: to hosts, then of clients. */
+    /** Who has said nothing goes first, then idle connections to hosts, then idle clients. */
     private void makeRoom() {
-        if (!lines.closeOldest()) {
-            closeOldest();
+        if (!closeOldest(client -> !client.known()) && !lines.closeOldest()) {
+            closeOldest(client -> true);
         }
     }
 
-    private void closeOldest() {
+    private boolean closeOldest(Predicate<Client> of) {
         long lately = System.nanoTime() - LATELY;
-        all.stream().filter(client -> client.usedAt() < lately && !client.ending())
-                .sorted(Comparator.comparingLong(Client::usedAt)).filter(Client::closeIfIdle).findFirst();
+        return all.stream().filter(of)
+                .filter(client -> client.usedAt() < lately && !client.ending())
+                .sorted(Comparator.comparingLong(Client::usedAt)).filter(Client::closeIfIdle).findFirst()
+                .isPresent();
     }
 
     private static void pause() {
@@ -107,7 +121,17 @@
 
     void sweep() {
         long now = System.nanoTime();
-        all.forEach(client -> client.sweep(now));
+        boolean many = all.size() > most / 8;
+        all.forEach(client -> {
+            client.sweep(now);
+            if (many && client.usedAt() < now - LONG_IDLE) {
+                client.closeIfIdle();
+            }
+        });
+    }
+
+    Room room() {
+        return room;
     }
 
     int count() {
--- a/src/main/java/beaconladder/serve/Desk.java
+++ b/src/main/java/beaconladder/serve/Desk.java
@@ -16,6 +16,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -48,6 +49,8 @@
     private final Router router;
     private final Rounds rounds;
     private final Map<Txn, Hand> hands = new HashMap<>();
+    /** Of the txns in hand. */
+    private final Set<String> ids = new HashSet<>();
     private final Map<String, Host> hosts = new LinkedHashMap<>();
     private final Map<Integer, Group> groups = new ConcurrentHashMap<>();
     private final Map<Host, InetSocketAddress> addresses = new ConcurrentHashMap<>();
@@ -60,6 +63,8 @@
     private volatile Errands errands;
     private long until = Long.MAX_VALUE;
     private long taken;
+    /** How many hosts have been named; each has a number of its own. */
+    private int numbered;
     private volatile boolean stopped;
 
     Desk(long seed, Map<String, String> start) {
@@ -111,12 +116,18 @@
         return !addresses.isEmpty();
     }
 
-    /** Takes a txn in: its task is told through the hand what to do. */
-    Hand take(int type, Group group, long session, long written, String tenant, boolean repeated,
+    /**
+     * Takes a txn in: its task is told through the hand what to do, and releases its id at the end. Null
+     * where another txn of this id is in hand.
+     */
+    Hand take(String id, int type, Group group, long session, long written, String tenant, boolean repeated,
             long arrived, long expiry) {
         lock.lock();
         Hand hand;
         try {
+            if (!ids.add(id)) {
+                return null;
+            }
             hand = new Hand(new Txn(taken, router.type(type), group, session, written,
                     tenantPlaces.getOrDefault(tenant, -1), repeated, arrived, expiry, taken++));
             hands.put(hand.txn, hand);
@@ -127,6 +138,16 @@
         return hand;
     }
 
+    /** The txn of this id has had its answer. */
+    void release(String id) {
+        lock.lock();
+        try {
+            ids.remove(id);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Whether this submission may still go; asked right before its bytes. */
     boolean stands(Submission s) {
         lock.lock();
@@ -172,9 +193,12 @@
         tell(now -> {
             Set<Host> named = new HashSet<>();
             for (Watch.Entry e : entries) {
+                if (e.state() == Watch.State.GONE && !hosts.containsKey(e.id())) {
+                    continue;
+                }
                 Group group = groups.computeIfAbsent(e.group(), Group::new);
                 Host host = hosts.computeIfAbsent(e.id(),
-                        id -> new Host(hosts.size(), group, zones.indexOf(e.zone())));
+                        id -> new Host(numbered++, group, zones.indexOf(e.zone())));
                 named.add(host);
                 if (e.address() != null) {
                     InetSocketAddress before = addresses.put(host, e.address());
@@ -206,6 +230,23 @@
         }
     }
 
+    /** Lets go of the hosts that are gone and that nothing needs any more. */
+    void sweep() {
+        lock.lock();
+        try {
+            long now = now();
+            for (Iterator<Host> all = hosts.values().iterator(); all.hasNext();) {
+                Host host = all.next();
+                if (host.state == Host.State.GONE && router.forget(host, now)) {
+                    all.remove();
+                    addresses.remove(host);
+                }
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private void tell(LongConsumer news) {
         List<Host> probe;
         List<Host> close;
--- a/src/main/java/beaconladder/serve/Ending.java
+++ b/src/main/java/beaconladder/serve/Ending.java
@@ -21,11 +21,27 @@
 record Ending(Reach reach, String code, boolean row, boolean timedOut, Role role, long position, String load,
         Outbox messages, boolean reusable) {
 
+    /** Clocks read in whole milliseconds by two processes; nothing applied can lie further ahead. */
+    private static final long AHEAD_MILLIS = 20;
+    /** The code of an answer that gives none; for the module it is an error of a host that can be reached. */
+    private static final String SPOILT = "";
+
     /** How far a submission had come when it ended. */
     enum Reach { NOT_CONNECTED, PART_WRITTEN, WRITTEN, ANSWER_BEGUN }
 
     static Ending early(Reach reach) {
-        return new Ending(reach, null, false, false, Role.UNKNOWN, Word.NONE, null, null, false);
+        return broken(reach, false);
+    }
+
+    /** It broke off, or was given up waiting, with no whole answer; what had come is not believed. */
+    static Ending broken(Reach reach, boolean timedOut) {
+        return new Ending(reach, null, false, timedOut, Role.UNKNOWN, Word.NONE, null, null, false);
+    }
+
+    /** An answer that can't be read: it may have run, and nothing that it said counts. */
+    static Ending spoilt() {
+        return new Ending(Reach.ANSWER_BEGUN, SPOILT, false, false, Role.UNKNOWN, Word.NONE, null, null,
+                false);
     }
 
     /** The outcome in the module's words. */
@@ -51,30 +67,36 @@
         return role == Role.UNKNOWN && position == Word.NONE ? Word.SILENT : new Word(role, position, -1);
     }
 
-    /** What the report that came along says; a field that can't be read counts as not reported. */
+    /** What the report that came along says. */
     Word report() {
         return report(load);
     }
 
+    /** A report with a field that can't be read says nothing at all. */
     static Word report(String load) {
-        long position = Word.NONE;
-        double holds = -1;
-        Role role = Role.UNKNOWN;
         if (load == null) {
             return Word.SILENT;
         }
+        long position = Word.NONE;
+        double holds = -1;
+        Role role = Role.UNKNOWN;
         for (String pair : load.split(",")) {
             int equals = pair.indexOf('=');
             String value = pair.substring(equals + 1).strip();
+            double figure = equals <= 0 ? -1 : figure(value);
+            boolean read = figure >= 0;
             switch (pair.substring(0, Math.max(0, equals)).strip()) {
-                case "x0" -> position = nanos(value, 9);
-                case "x1" -> {
-                    double x = figure(value);
-                    role = x < 0 ? Role.UNKNOWN : x >= 0.5 ? Role.PRIMARY : Role.REPLICA;
+                case "x0" -> {
+                    position = position(value, 9);
+                    read = position != Word.NONE;
                 }
-                case "inflight", "rif" -> holds = figure(value);
+                case "x1" -> role = figure >= 0.5 ? Role.PRIMARY : Role.REPLICA;
+                case "inflight", "rif" -> holds = figure;
                 default -> { }
             }
+            if (!read) {
+                return Word.SILENT;
+            }
         }
         return new Word(role, position, holds);
     }
@@ -89,6 +111,12 @@
         }
     }
 
+    /** A position that a host can have reached by now; all machines read one clock, give or take. */
+    static long position(String text, int power) {
+        long value = nanos(text, power);
+        return value > (System.currentTimeMillis() + AHEAD_MILLIS) * 1_000_000 ? Word.NONE : value;
+    }
+
     /** A decimal number times a power of ten, rounded down and exact; NONE when it is no position. */
     static long nanos(String text, int power) {
         try {
--- a/src/main/java/beaconladder/serve/Line.java
+++ b/src/main/java/beaconladder/serve/Line.java
@@ -5,23 +5,34 @@
 import beaconladder.pg.Inbox;
 import beaconladder.pg.Inbox.Got;
 import beaconladder.pg.Outbox;
+import beaconladder.pg.Room;
 import beaconladder.serve.Ending.Reach;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.util.Set;
 
 /** A connection to a host: one exchange at a time. */
 final class Line {
+    /** Hosts write an answer in one go; one that has begun and takes longer has broken off. */
+    private static final long WHOLE = 150_000_000;
+    /** All of an answer: its value, and as much again for all that goes with it. */
+    private static final int MOST = 2 * Inbox.BOUND;
+    /** What a statement of one row ends with. */
+    private static final Set<String> TAGS = Set.of("SELECT 1", "INSERT 0 1", "SHOW");
+
     private final SocketChannel channel;
+    private final Room room;
     private Inbox in;
     private boolean greeted;
     /** When it was last used, on System.nanoTime's clock. */
     long usedAt = System.nanoTime();
     final InetSocketAddress address;
 
-    Line(InetSocketAddress address) throws IOException {
+    Line(InetSocketAddress address, Room room) throws IOException {
         this.address = address;
+        this.room = room;
         this.channel = SocketChannel.open();
     }
 
@@ -34,16 +45,16 @@
             }
             channel.socket().setTcpNoDelay(true);
             channel.socket().connect(address, (int) Math.min(left, Integer.MAX_VALUE));
-            in = new Inbox(channel.socket());
+            in = new Inbox(channel.socket(), room);
             write(Outbox.startup("app", "shop"));
             while (true) {
-                if (in.next(until) != Got.MESSAGE) {
+                if (in.next(until, WHOLE) != Got.MESSAGE) {
                     return false;
                 }
                 switch (in.type()) {
                     case 'Z' -> {
-                        greeted = true;
-                        return true;
+                        greeted = !in.more();
+                        return greeted;
                     }
                     case 'R' -> {
                         if (in.end() - in.at() < 4 || in.int32(in.at()) != 0) {
@@ -68,6 +79,9 @@
 
     /** Whether a connection that lay idle is still of use: open, with nothing unasked in it. */
     boolean alive() {
+        if (in.more()) {
+            return false;
+        }
         try {
             channel.configureBlocking(false);
             int n = channel.read(ByteBuffer.allocate(1));
@@ -85,61 +99,93 @@
         } catch (IOException e) {
             return Ending.early(Reach.PART_WRITTEN);
         }
+        Ending ending = answer(until);
+        usedAt = System.nanoTime();
+        return ending;
+    }
+
+    /**
+     * The answer, judged whole: a description of one column, one row, a tag, or an error; then ready. Any
+     * other order, count or length makes it spoilt, and then nothing that it said counts.
+     */
+    private Ending answer(long until) {
         Reach reach = Reach.WRITTEN;
         Outbox messages = new Outbox();
         Role role = Role.UNKNOWN;
         long position = Word.NONE;
         String load = null;
         String code = null;
-        int rows = 0;
-        boolean complete = false;
-        boolean ready = false;
-        Got got = Got.MESSAGE;
-        while (!ready) {
-            got = in.next(until);
+        // What may come next: T, D, C in turn, or E in place of T; Z after C or E.
+        char due = 'T';
+        int read = 0;
+        long end = until;
+        while (true) {
+            Got got = in.next(end, WHOLE);
             if (got != Got.MESSAGE) {
-                break;
+                if (got == Got.CLOSED) {
+                    // A whole error may be a host's last word.
+                    return new Ending(reach, code, false, false, role, position, load, null, false);
+                }
+                boolean silent = got == Got.TIMED_OUT && reach == Reach.WRITTEN && !in.more();
+                return silent || got == Got.CUT ? Ending.broken(reach, silent) : Ending.spoilt();
+            }
+            if (reach == Reach.WRITTEN) {
+                reach = Reach.ANSWER_BEGUN;
+                end = Math.min(until, System.nanoTime() + WHOLE);
+            }
+            read += in.end() - in.at();
+            char type = in.type();
+            boolean good = read <= MOST && switch (type) {
+                case 'S' -> in.texts(2);
+                case 'N' -> in.isError();
+                case 'T' -> due == 'T' && in.describesOneColumn();
+                case 'D' -> due == 'D' && in.isRowOfOne();
+                case 'C' -> due == 'C' && in.texts(1) && TAGS.contains(in.text(in.at()));
+                case 'E' -> due == 'T' && in.isError();
+                case 'Z' -> due == 'Z' && in.end() - in.at() == 1 && "ITE".indexOf(in.int8(in.at())) >= 0;
+                default -> false;
+            };
+            if (!good) {
+                return Ending.spoilt();
             }
-            reach = Reach.ANSWER_BEGUN;
-            switch (in.type()) {
+            switch (type) {
                 case 'S' -> {
-                    String name = in.text(in.at());
                     String value = in.text(in.after(in.at()));
-                    switch (name) {
+                    switch (in.text(in.at())) {
                         case "node_role" -> role = value.equals("leader") ? Role.PRIMARY
                                 : value.equals("follower") ? Role.REPLICA : Role.UNKNOWN;
-                        case "replay_position" -> position = Ending.nanos(value, 6);
+                        case "replay_position" -> position = Ending.position(value, 6);
                         case "server_load" -> load = value;
                         default -> { }
                     }
                 }
-                case 'N' -> { }
-                case 'T' -> in.copyTo(messages);
-                case 'D' -> {
-                    rows++;
-                    in.copyTo(messages);
-                }
-                case 'C' -> {
-                    complete = true;
+                case 'T', 'D', 'C' -> {
                     in.copyTo(messages);
+                    due = type == 'T' ? 'D' : type == 'D' ? 'C' : 'Z';
                 }
                 case 'E' -> {
-                    code = String.valueOf(in.errorField('C'));
+                    code = in.errorField('C');
+                    due = 'Z';
                     // After a fatal error no more comes.
                     if (!"ERROR".equals(in.errorField('S'))) {
                         return new Ending(reach, code, false, false, role, position, load, null, false);
                     }
                 }
-                case 'Z' -> ready = true;
-                default -> got = Got.MALFORMED;
-            }
-            if (got != Got.MESSAGE) {
-                break;
+                case 'Z' -> {
+                    return new Ending(reach, code, code == null, false, role, position, load, messages,
+                            !in.more());
+                }
+                default -> { }
             }
         }
-        boolean row = complete && rows == 1 && code == null;
-        usedAt = System.nanoTime();
-        return new Ending(reach, code, row, got == Got.TIMED_OUT, role, position, load, messages, ready);
+    }
+
+    /** To be called by the thread that reads, or once none does. */
+    void release() {
+        close();
+        if (in != null) {
+            in.release();
+        }
     }
 
     void close() {
--- a/src/main/java/beaconladder/serve/Lines.java
+++ b/src/main/java/beaconladder/serve/Lines.java
@@ -5,6 +5,7 @@
 import beaconladder.fleet.Host;
 import beaconladder.fleet.Submission;
 import beaconladder.pg.Outbox;
+import beaconladder.pg.Room;
 import beaconladder.pg.Statement;
 import beaconladder.serve.Ending.Reach;
 import java.io.IOException;
@@ -22,8 +23,12 @@
 
 /** The connections to hosts: those in use, a thread each, and those that wait for the next use. */
 final class Lines implements Desk.Errands {
+    /** What a host writes behind its answer came within a millisecond; a connection in wait costs nothing. */
+    private static final long RESTED = 3_000_000;
+
     private final Desk desk;
     private final Executor threads;
+    private final Room room;
     private final long dialNanos;
     private final String probeQuery;
     private final boolean probeReports;
@@ -31,8 +36,9 @@
     private final Set<Call> calls = ConcurrentHashMap.newKeySet();
     private final AtomicInteger open = new AtomicInteger();
 
-    Lines(Desk desk, Map<String, String> start, Executor threads) {
+    Lines(Desk desk, Map<String, String> start, Executor threads, Room room) {
         this.desk = desk;
+        this.room = room;
         this.threads = threads;
         this.dialNanos = Long.parseLong(start.getOrDefault("limits.dial_timeout_us", "250000")) * 1_000;
         // A plain probe tells that the process runs and no more; the report tells position, role and load.
@@ -107,7 +113,7 @@
                 boolean fresh = next == null;
                 if (fresh) {
                     try {
-                        next = new Line(address);
+                        next = new Line(address, room);
                         open.incrementAndGet();
                     } catch (IOException e) {
                         return false;
@@ -212,18 +218,22 @@
         return oldest != null;
     }
 
+    /** The newest that has rested: a second copy of its last answer has shown itself by then. */
     private Line takeIdle(Host host) {
-        long oldest = System.nanoTime() - desk.keepIdle();
+        long now = System.nanoTime();
+        long oldest = now - desk.keepIdle();
         synchronized (idle) {
             Deque<Line> of = idle.get(host);
-            Line line = of == null ? null : of.pollFirst();
-            if (line == null || line.usedAt >= oldest) {
-                return line;
+            for (Line line : of == null ? List.<Line>of() : of) {
+                if (line.usedAt < oldest) {
+                    break;
+                }
+                if (line.usedAt <= now - RESTED) {
+                    of.remove(line);
+                    return line;
+                }
             }
-            of.addFirst(line);
         }
-        // The newest is too old, so all are.
-        closeIdle(host);
         return null;
     }
 
@@ -238,7 +248,7 @@
     }
 
     private void close(Line line) {
-        line.close();
+        line.release();
         open.decrementAndGet();
     }
 }
--- a/src/main/java/beaconladder/serve/Serve.java
+++ b/src/main/java/beaconladder/serve/Serve.java
@@ -1,11 +1,11 @@
 package beaconladder.serve;
 
-import beaconladder.roster.Json;
+import beaconladder.pg.Room;
 import beaconladder.roster.Watch;
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.util.LinkedHashMap;
-import java.util.Map;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -20,6 +20,12 @@
     /** Time for answers that lie in sockets to reach their clients before the program ends. */
     private static final int LAST_MILLIS = 100;
 
+    /** Of the heap, for large messages on their way in; their texts and answers take as much again. */
+    private static final int LARGE_SHARE = 6;
+
+    private final Path file;
+    private final Stated stated;
+    private final Threads threads;
     private final Desk desk;
     private final Lines lines;
     private final Clients clients;
@@ -29,37 +35,33 @@
     private volatile boolean stopped;
 
     /**
-     * Starts to listen once it knows hosts.
+     * Makes a router that does not yet listen.
      *
-     * @param stated name, listen, discovery, seed, limits, known and settings, as read from JSON
+     * @param file name, listen, discovery, seed, limits, known and settings as JSON
      */
-    public Serve(Map<?, ?> stated) throws IOException, InterruptedException {
-        Map<String, String> start = new LinkedHashMap<>();
-        Json.flatten("", stated.get("settings") instanceof Map<?, ?> s ? s : Map.of(), start);
-        InetSocketAddress listen = address(stated, "listen");
-        InetSocketAddress discovery = address(stated, "discovery");
-        Map<String, String> limits = new LinkedHashMap<>();
-        Json.flatten("", stated.get("limits") instanceof Map<?, ?> l ? l : Map.of(), limits);
-        long seed;
-        try {
-            seed = Long.parseUnsignedLong(String.valueOf(stated.get("seed")), 16);
-        } catch (NumberFormatException e) {
-            throw new IOException("the seed is no hexadecimal number");
-        }
-        Threads threads = new Threads(Integer.parseInt(limits.getOrDefault("memory_mb", "192")));
-        desk = new Desk(seed, start);
-        lines = new Lines(desk, start, threads);
+    public Serve(Path file) throws IOException {
+        this.file = file;
+        stated = Stated.read(file);
+        threads = new Threads(stated.memoryMb());
+        desk = new Desk(stated.seed(), stated.start());
+        Room room = new Room(Runtime.getRuntime().maxMemory() / LARGE_SHARE);
+        lines = new Lines(desk, stated.start(), threads, room);
         desk.errands(lines);
-        clients = new Clients(desk, lines, threads, Integer.parseInt(limits.getOrDefault("sockets", "1024")));
-        watch = new Watch(discovery, desk);
-        if (stated.get("known") instanceof Map<?, ?> known) {
-            desk.listed(true, Watch.entries(known));
+        clients = new Clients(desk, lines, threads, room, stated.descriptors());
+        watch = new Watch(stated.discovery(), desk);
+        if (!stated.known().isEmpty()) {
+            desk.listed(true, stated.known());
         }
         long expiry = 0;
-        for (int i = 0; start.containsKey("request_classes." + i + ".give_up_us"); i++) {
-            expiry = Math.max(expiry, Long.parseLong(start.get("request_classes." + i + ".give_up_us")));
+        for (int i = 0; stated.start().containsKey("request_classes." + i + ".give_up_us"); i++) {
+            expiry = Math.max(expiry,
+                    Long.parseLong(stated.start().get("request_classes." + i + ".give_up_us")));
         }
         longestNanos = expiry * 1_000 + Client.LINGER;
+    }
+
+    /** Listens once it knows hosts; returns then. */
+    public void start() throws IOException, InterruptedException {
         threads.make(desk).start();
         threads.make(watch).start();
         threads.make(this::sweep).start();
@@ -68,18 +70,30 @@
         while (!desk.knowsHosts() || !watch.answered() && System.nanoTime() < patient) {
             Thread.sleep(5);
         }
-        WarmUp.run(start);
-        clients.listen(listen);
+        WarmUp.run(stated.start());
+        clients.listen(stated.listen());
         threads.make(clients).start();
-        LOG.info("{} serves at {}", stated.get("name"), listen);
+        LOG.info("{} serves at {}", stated.name(), stated.listen());
     }
 
-    private static InetSocketAddress address(Map<?, ?> stated, String name) throws IOException {
-        InetSocketAddress address = Watch.address(String.valueOf(stated.get(name)));
-        if (address == null) {
-            throw new IOException("'" + name + "' is no address with a port");
+    /**
+     * Reads the file again. Discovery's address counts at once, and all that the router holds stays; what
+     * else has changed waits for a restart. A file that can't be read whole changes nothing.
+     */
+    public synchronized void reload() {
+        try {
+            Stated next = Stated.read(file);
+            List<String> waits = new ArrayList<>();
+            waits.addAll(next.listen().equals(stated.listen()) ? List.of() : List.of("listen"));
+            waits.addAll(next.start().equals(stated.start()) ? List.of() : List.of("settings"));
+            waits.addAll(next.memoryMb() == stated.memoryMb() && next.descriptors() == stated.descriptors()
+                    ? List.of() : List.of("limits"));
+            watch.moveTo(next.discovery());
+            LOG.info("reloaded: discovery is at {}{}", next.discovery(),
+                    waits.isEmpty() ? "" : "; for a restart: " + String.join(", ", waits));
+        } catch (IOException | RuntimeException e) {
+            LOG.warn("not reloaded, all stays as it was: {}", e.toString());
         }
-        return address;
     }
 
     private void sweep() {
@@ -88,6 +102,7 @@
                 Thread.sleep(SWEEP_MILLIS);
                 lines.sweep();
                 clients.sweep();
+                desk.sweep();
             } catch (InterruptedException e) {
                 return;
             } catch (RuntimeException | Error e) {
--- /dev/null
+++ b/src/main/java/beaconladder/serve/Stated.java
@@ -0,0 +1,77 @@
+package beaconladder.serve;
+
+import beaconladder.Logic;
+import beaconladder.roster.Json;
+import beaconladder.roster.Watch;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the operators' file states, checked whole before any of it counts.
+ *
+ * @param start       the settings, flat
+ * @param descriptors how many may be held
+ * @param known       the hosts as last listed; it may be out of date, or empty
+ */
+record Stated(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+        Map<String, String> start, int memoryMb, int descriptors, List<Watch.Entry> known) {
+    /** A thousand hosts are a hundred kilobytes; a file beyond this is no configuration. */
+    private static final long LONGEST = 4 << 20;
+
+    /** Reads the file; what is wrong with it is the message of the exception. */
+    static Stated read(Path file) throws IOException {
+        if (Files.size(file) > LONGEST) {
+            throw new IOException(file + " is too long for a configuration");
+        }
+        try {
+            if (!(Json.read(Files.readString(file)) instanceof Map<?, ?> stated)) {
+                throw new IOException("no JSON object in " + file);
+            }
+            return of(stated);
+        } catch (Json.Fault e) {
+            throw new IOException(e.getMessage());
+        }
+    }
+
+    static Stated of(Map<?, ?> stated) throws IOException {
+        InetSocketAddress listen = address(stated, "listen");
+        InetSocketAddress discovery = address(stated, "discovery");
+        Map<String, String> limits = flat(stated, "limits");
+        Map<String, String> start = flat(stated, "settings");
+        long seed;
+        try {
+            seed = Long.parseUnsignedLong(String.valueOf(stated.get("seed")), 16);
+        } catch (NumberFormatException e) {
+            throw new IOException("the seed is no hexadecimal number");
+        }
+        List<Watch.Entry> known = stated.get("known") instanceof Map<?, ?> list ? Watch.entries(list)
+                : List.of();
+        try {
+            new Logic(seed, start);
+            return new Stated(String.valueOf(stated.get("name")), listen, discovery, seed, start,
+                    Integer.parseInt(limits.getOrDefault("memory_mb", "192")),
+                    Integer.parseInt(limits.getOrDefault("sockets", "1024")), known);
+        } catch (NumberFormatException e) {
+            throw new IOException("a number belongs where there is none: " + e.getMessage());
+        }
+    }
+
+    private static Map<String, String> flat(Map<?, ?> stated, String name) {
+        Map<String, String> flat = new LinkedHashMap<>();
+        Json.flatten("", stated.get(name) instanceof Map<?, ?> map ? map : Map.of(), flat);
+        return flat;
+    }
+
+    private static InetSocketAddress address(Map<?, ?> stated, String name) throws IOException {
+        InetSocketAddress address = Watch.address(String.valueOf(stated.get(name)));
+        if (address == null || address.getPort() == 0) {
+            throw new IOException("'" + name + "' is no address with a port");
+        }
+        return address;
+    }
+}
--- a/src/main/java/beaconladder/serve/WarmUp.java
+++ b/src/main/java/beaconladder/serve/WarmUp.java
@@ -44,9 +44,9 @@
         Group group = desk.group(0);
         int types = Integer.parseInt(start.getOrDefault("request_classes.count", "0"));
         for (int i = 0; types > 0 && i < TXNS && System.nanoTime() < until; i++) {
-            Statement statement = Statement.read("SELECT doc FROM items WHERE id = 'k' /* id=1,c=x,d=900 */");
+            Statement statement = Statement.read("SELECT doc FROM items WHERE id = 'k' /* id=1,c=x,t=y,d=900,cluster=0 */");
             long now = desk.now();
-            Hand hand = desk.take(i % types, group, statement.session(), now - 1_000_000, "", false, now,
+            Hand hand = desk.take("1", i % types, group, statement.session(), now - 1_000_000, "", false, now,
                     now + 900_000_000);
             for (Hand.Order order = hand.poll(); order != null; order = hand.poll()) {
                 if (order.kind() == Hand.Kind.SEND && desk.stands(order.submission())) {
@@ -57,6 +57,7 @@
                 }
             }
             desk.left(hand);
+            desk.release("1");
         }
     }
 
