A txn in hand takes one thread, and its whole way is warmed up before clients come

The limit on the core stops and continues every thread, so each one costs, idle or not. Ruled out: hot Java code, garbage collection, a spin. Changed: a task runs its submission itself (Hand.take, Lines.send), a copy or a cancel is done by whoever tells of it; threads are kept 2 s, not 10; WarmUp plays txns through Client, Desk, Lines and Line over Tape, in memory.

--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -2,7 +2,6 @@
 
 import beaconladder.api.Router.Word;
 import beaconladder.fleet.Group;
-import beaconladder.fleet.Submission;
 import beaconladder.pg.Inbox;
 import beaconladder.pg.Inbox.Got;
 import beaconladder.pg.Outbox;
@@ -11,10 +10,8 @@
 import java.net.Socket;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -419,8 +416,7 @@
             return;
         }
         known = true;
-        Hand taken = desk.take(id, type, group, statement.session(), written, statement.value("t"),
-                "1".equals(statement.value("r")), arrived, arrived + budget * 1_000_000);
+        Hand taken = desk.take(id, type, group, statement, written, arrived, arrived + budget * 1_000_000);
         if (taken == null) {
             send(new Outbox().error("ERROR", "22023", "the id of a txn that is in hand", null).ready());
             return;
@@ -432,7 +428,7 @@
             desk.left(taken);
         }
         try {
-            send(finish(taken, statement));
+            send(finish(taken));
         } finally {
             synchronized (this) {
                 hand = null;
@@ -442,14 +438,11 @@
     }
 
     /** Does what the desk tells until the txn has its end; returns the final answer. */
-    private Outbox finish(Hand taken, Statement statement) throws InterruptedException {
-        Map<Submission, Lines.Call> calls = new HashMap<>();
+    private Outbox finish(Hand taken) throws InterruptedException {
         while (true) {
             Hand.Order order = taken.take();
             switch (order.kind()) {
-                case SEND -> calls.put(order.submission(),
-                        lines.send(order.submission(), statement, desk.nanoTime(order.nanos())));
-                case CANCEL -> calls.get(order.submission()).cancel();
+                case SEND -> lines.send(order, taken.statement);
                 case COMMITTED -> {
                     return order.answer().ready();
                 }
--- a/src/main/java/beaconladder/serve/Clients.java
+++ b/src/main/java/beaconladder/serve/Clients.java
@@ -43,7 +43,7 @@
         this.room = room;
         this.most = Math.max(1, descriptors - RESERVE);
         this.mostStrangers = Math.max(8, most / 5);
-        // Half of the threads read for clients; a txn in hand takes two more, its task and its call.
+        // Half of the threads read for clients; a txn in hand takes one more, its task.
         this.mostClients = threads.most() / 2;
     }
 
@@ -138,9 +138,9 @@
         return all.size();
     }
 
-    /** Starts a client's task; false when there is no thread left for it and the submission to come. */
+    /** Starts a client's task; false when there is no thread left for it. */
     boolean execute(Runnable task) {
-        if (!threads.room(2)) {
+        if (!threads.room(1)) {
             return false;
         }
         threads.execute(task);
--- a/src/main/java/beaconladder/serve/Desk.java
+++ b/src/main/java/beaconladder/serve/Desk.java
@@ -9,7 +9,9 @@
 import beaconladder.fleet.Host;
 import beaconladder.fleet.Submission;
 import beaconladder.fleet.Txn;
+import beaconladder.fleet.TxnType;
 import beaconladder.pg.Outbox;
+import beaconladder.pg.Statement;
 import beaconladder.roster.Watch;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -24,6 +26,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -42,6 +45,11 @@
         void probe(Host host);
 
         void closeIdle(Host host);
+
+        /** Starts a submission whose txn's task is out with another one. */
+        void start(Hand hand, Hand.Order order);
+
+        void cancel(Submission submission);
     }
 
     private final ReentrantLock lock = new ReentrantLock();
@@ -58,9 +66,9 @@
     private final Map<String, Integer> tenantPlaces = new HashMap<>();
     private final List<String> zones;
     private final long anchor = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
-    private final List<Host> toProbe = new ArrayList<>();
-    private final List<Host> toClose = new ArrayList<>();
-    private volatile Errands errands;
+    /** What is to be done on sockets once the lock is free. */
+    private final List<Consumer<Errands>> errands = new ArrayList<>();
+    private volatile Errands lines;
     private long until = Long.MAX_VALUE;
     private long taken;
     /** How many hosts have been named; each has a number of its own. */
@@ -83,7 +91,7 @@
     }
 
     void errands(Errands to) {
-        errands = to;
+        lines = to;
     }
 
     /** Unix time in nanoseconds; never runs backwards. */
@@ -100,6 +108,11 @@
         return typePlaces.get(name);
     }
 
+    /** Whether txns of this type write. */
+    boolean writes(int type) {
+        return router.type(type).read() == TxnType.Read.WRITE;
+    }
+
     Group group(int number) {
         return groups.get(number);
     }
@@ -120,16 +133,17 @@
      * Takes a txn in: its task is told through the hand what to do, and releases its id at the end. Null
      * where another txn of this id is in hand.
      */
-    Hand take(String id, int type, Group group, long session, long written, String tenant, boolean repeated,
-            long arrived, long expiry) {
+    Hand take(String id, int type, Group group, Statement statement, long written, long arrived,
+            long expiry) {
         lock.lock();
         Hand hand;
         try {
             if (!ids.add(id)) {
                 return null;
             }
-            hand = new Hand(new Txn(taken, router.type(type), group, session, written,
-                    tenantPlaces.getOrDefault(tenant, -1), repeated, arrived, expiry, taken++));
+            hand = new Hand(new Txn(taken, router.type(type), group, statement.session(), written,
+                    tenantPlaces.getOrDefault(statement.value("t"), -1), "1".equals(statement.value("r")),
+                    arrived, expiry, taken++), statement);
             hands.put(hand.txn, hand);
         } finally {
             lock.unlock();
@@ -168,7 +182,7 @@
             Hand hand = hands.get(s.txn);
             rounds.act(s.txn, router.after(s, outcome, settled, answer, report, now), now);
             if (hand != null && outcome == Outcome.COMMITTED) {
-                hand.tell(Hand.Kind.COMMITTED, s, 0, messages);
+                hand.tell(new Hand.Order(Hand.Kind.COMMITTED, s, 0, messages));
             }
         });
     }
@@ -178,7 +192,7 @@
         tell(now -> {
             if (!hand.txn.ended) {
                 rounds.act(hand.txn, router.left(hand.txn, now), now);
-                hand.tell(Hand.Kind.LEFT, null, 0, null);
+                hand.tell(new Hand.Order(Hand.Kind.LEFT, null, 0, null));
             }
         });
     }
@@ -225,8 +239,8 @@
                 }
             }
         });
-        if (errands != null) {
-            moved.forEach(errands::closeIdle);
+        if (lines != null) {
+            moved.forEach(lines::closeIdle);
         }
     }
 
@@ -248,8 +262,7 @@
     }
 
     private void tell(LongConsumer news) {
-        List<Host> probe;
-        List<Host> close;
+        List<Consumer<Errands>> then;
         lock.lock();
         try {
             long now = now();
@@ -259,15 +272,12 @@
                 sooner.signal();
             }
             until = next;
-            probe = List.copyOf(toProbe);
-            close = List.copyOf(toClose);
-            toProbe.clear();
-            toClose.clear();
+            then = errands.isEmpty() ? List.of() : List.copyOf(errands);
+            errands.clear();
         } finally {
             lock.unlock();
         }
-        probe.forEach(errands::probe);
-        close.forEach(errands::closeIdle);
+        then.forEach(errand -> errand.accept(lines));
     }
 
     /** The timer: sleeps until the rounds are due by themselves. */
@@ -308,25 +318,26 @@
 
     @Override
     public void send(Submission s, long timeout) {
-        hands.get(s.txn).tell(Hand.Kind.SEND, s, s.sent + timeout, null);
+        Hand hand = hands.get(s.txn);
+        Hand.Order order = new Hand.Order(Hand.Kind.SEND, s, s.sent + timeout, null);
+        if (!hand.tell(order)) {
+            errands.add(to -> to.start(hand, order));
+        }
     }
 
     @Override
     public void cancel(Submission s) {
-        Hand hand = hands.get(s.txn);
-        if (hand != null) {
-            hand.tell(Hand.Kind.CANCEL, s, 0, null);
-        }
+        errands.add(to -> to.cancel(s));
     }
 
     @Override
     public void decline(Txn txn, long comeBack) {
-        hands.get(txn).tell(Hand.Kind.DECLINED, null, comeBack, null);
+        hands.get(txn).tell(new Hand.Order(Hand.Kind.DECLINED, null, comeBack, null));
     }
 
     @Override
     public void rollBack(Txn txn) {
-        hands.get(txn).tell(Hand.Kind.ROLLED_BACK, null, 0, null);
+        hands.get(txn).tell(new Hand.Order(Hand.Kind.ROLLED_BACK, null, 0, null));
     }
 
     @Override
@@ -336,11 +347,11 @@
 
     @Override
     public void probe(Host host) {
-        toProbe.add(host);
+        errands.add(to -> to.probe(host));
     }
 
     @Override
     public void close(Host host) {
-        toClose.add(host);
+        errands.add(to -> to.closeIdle(host));
     }
 }
--- a/src/main/java/beaconladder/serve/Hand.java
+++ b/src/main/java/beaconladder/serve/Hand.java
@@ -3,41 +3,59 @@
 import beaconladder.fleet.Submission;
 import beaconladder.fleet.Txn;
 import beaconladder.pg.Outbox;
-import java.util.concurrent.LinkedBlockingQueue;
+import beaconladder.pg.Statement;
+import java.util.ArrayDeque;
 
 /** A txn in hand: what the desk tells the task that sees it through. */
 final class Hand {
 
     /** What there is to do. */
-    enum Kind { SEND, CANCEL, COMMITTED, DECLINED, ROLLED_BACK, LEFT }
+    enum Kind { SEND, COMMITTED, DECLINED, ROLLED_BACK, LEFT }
 
     /**
      * One thing to do.
      *
-     * @param submission for SEND and CANCEL
-     * @param nanos      for SEND how long it may take, for DECLINED how long the client should stay away
+     * @param submission for SEND
+     * @param nanos      for SEND when it is to be over, for DECLINED how long the client should stay away
      * @param answer     for COMMITTED: the host's messages
      */
     record Order(Kind kind, Submission submission, long nanos, Outbox answer) {
     }
 
     final Txn txn;
-    private final LinkedBlockingQueue<Order> orders = new LinkedBlockingQueue<>();
+    final Statement statement;
+    private final ArrayDeque<Order> orders = new ArrayDeque<>();
+    /** Whether the task is out with a submission, and can't start another. */
+    private boolean away;
 
-    Hand(Txn txn) {
+    Hand(Txn txn, Statement statement) {
         this.txn = txn;
+        this.statement = statement;
     }
 
-    void tell(Kind kind, Submission submission, long nanos, Outbox answer) {
-        orders.add(new Order(kind, submission, nanos, answer));
+    /** Tells the task; false for a SEND that has to be started by somebody else, as the task is away. */
+    synchronized boolean tell(Order order) {
+        if (order.kind() == Kind.SEND && (away || !orders.isEmpty())) {
+            return false;
+        }
+        orders.add(order);
+        notifyAll();
+        return true;
     }
 
     /** What there is to do by now, or null. */
-    Order poll() {
-        return orders.poll();
+    synchronized Order poll() {
+        away = false;
+        Order order = orders.poll();
+        away = order != null && order.kind() == Kind.SEND;
+        return order;
     }
 
-    Order take() throws InterruptedException {
-        return orders.take();
+    synchronized Order take() throws InterruptedException {
+        away = false;
+        while (orders.isEmpty()) {
+            wait();
+        }
+        return poll();
     }
 }
--- a/src/main/java/beaconladder/serve/Line.java
+++ b/src/main/java/beaconladder/serve/Line.java
@@ -9,6 +9,7 @@
 import beaconladder.serve.Ending.Reach;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.Set;
@@ -22,6 +23,7 @@
     /** What a statement of one row ends with. */
     private static final Set<String> TAGS = Set.of("SELECT 1", "INSERT 0 1", "SHOW");
 
+    private final Socket socket;
     private final SocketChannel channel;
     private final Room room;
     private Inbox in;
@@ -34,6 +36,15 @@
         this.address = address;
         this.room = room;
         this.channel = SocketChannel.open();
+        this.socket = channel.socket();
+    }
+
+    /** On a socket that is no channel's; it is never found to have been closed while it lay idle. */
+    Line(InetSocketAddress address, Room room, Socket socket) {
+        this.address = address;
+        this.room = room;
+        this.socket = socket;
+        this.channel = null;
     }
 
     /** Connects and greets; false when the host did not take the connection by then (a nanoTime). */
@@ -43,9 +54,9 @@
             if (left <= 0) {
                 return false;
             }
-            channel.socket().setTcpNoDelay(true);
-            channel.socket().connect(address, (int) Math.min(left, Integer.MAX_VALUE));
-            in = new Inbox(channel.socket(), room);
+            socket.setTcpNoDelay(true);
+            socket.connect(address, (int) Math.min(left, Integer.MAX_VALUE));
+            in = new Inbox(socket, room);
             write(Outbox.startup("app", "shop"));
             while (true) {
                 if (in.next(until, WHOLE) != Got.MESSAGE) {
@@ -82,6 +93,9 @@
         if (in.more()) {
             return false;
         }
+        if (channel == null) {
+            return true;
+        }
         try {
             channel.configureBlocking(false);
             int n = channel.read(ByteBuffer.allocate(1));
@@ -190,16 +204,13 @@
 
     void close() {
         try {
-            channel.close();
+            socket.close();
         } catch (IOException e) {
             // It is gone either way.
         }
     }
 
     private void write(Outbox out) throws IOException {
-        ByteBuffer bytes = out.bytes();
-        while (bytes.hasRemaining()) {
-            channel.write(bytes);
-        }
+        out.writeTo(socket.getOutputStream());
     }
 }
--- a/src/main/java/beaconladder/serve/Lines.java
+++ b/src/main/java/beaconladder/serve/Lines.java
@@ -32,12 +32,16 @@
     private final long dialNanos;
     private final String probeQuery;
     private final boolean probeReports;
+    private final boolean cancels;
+    private final Opener opener;
     private final Map<Host, Deque<Line>> idle = new HashMap<>();
     private final Set<Call> calls = ConcurrentHashMap.newKeySet();
     private final AtomicInteger open = new AtomicInteger();
 
-    Lines(Desk desk, Map<String, String> start, Executor threads, Room room) {
+    Lines(Desk desk, Map<String, String> start, Executor threads, Room room, Opener opener) {
         this.desk = desk;
+        this.opener = opener;
+        this.cancels = "true".equals(start.get("limits.cancel"));
         this.room = room;
         this.threads = threads;
         this.dialNanos = Long.parseLong(start.getOrDefault("limits.dial_timeout_us", "250000")) * 1_000;
@@ -46,6 +50,11 @@
         this.probeQuery = probeReports ? "SHOW server_load" : "SELECT 1";
     }
 
+    /** Makes a connection that is not yet open. */
+    interface Opener {
+        Line line(InetSocketAddress address, Room room) throws IOException;
+    }
+
     /** Descriptors held. */
     int open() {
         return open.get();
@@ -113,7 +122,7 @@
                 boolean fresh = next == null;
                 if (fresh) {
                     try {
-                        next = new Line(address, room);
+                        next = opener.line(address, room);
                         open.incrementAndGet();
                     } catch (IOException e) {
                         return false;
@@ -157,11 +166,31 @@
         }
     }
 
-    /** Starts a submission; it is to be over at this nanoTime. */
-    Call send(Submission submission, Statement statement, long until) {
-        Call call = new Call(submission.host, submission, statement, until);
-        threads.execute(call);
-        return call;
+    /** Sees a submission through on the caller's thread; what became of it is told to the desk. */
+    void send(Hand.Order order, Statement statement) {
+        Call call = new Call(order.submission().host, order.submission(), statement,
+                desk.nanoTime(order.nanos()));
+        if (cancels) {
+            call.run();
+        } else {
+            // The answer of a copy must not wait for one that can't be called off.
+            threads.execute(call);
+        }
+    }
+
+    @Override
+    public void start(Hand hand, Hand.Order order) {
+        threads.execute(() -> send(order, hand.statement));
+    }
+
+    /** One whose call has not begun yet finds its txn at an end before it writes anything. */
+    @Override
+    public void cancel(Submission submission) {
+        for (Call call : calls) {
+            if (call.submission == submission) {
+                call.cancel();
+            }
+        }
     }
 
     @Override
--- a/src/main/java/beaconladder/serve/Serve.java
+++ b/src/main/java/beaconladder/serve/Serve.java
@@ -45,7 +45,7 @@
         threads = new Threads(stated.memoryMb());
         desk = new Desk(stated.seed(), stated.start());
         Room room = new Room(Runtime.getRuntime().maxMemory() / LARGE_SHARE);
-        lines = new Lines(desk, stated.start(), threads, room);
+        lines = new Lines(desk, stated.start(), threads, room, Line::new);
         desk.errands(lines);
         clients = new Clients(desk, lines, threads, room, stated.descriptors());
         watch = new Watch(stated.discovery(), desk);
@@ -70,7 +70,7 @@
         while (!desk.knowsHosts() || !watch.answered() && System.nanoTime() < patient) {
             Thread.sleep(5);
         }
-        WarmUp.run(stated.start());
+        WarmUp.run(stated, threads);
         clients.listen(stated.listen());
         threads.make(clients).start();
         LOG.info("{} serves at {}", stated.name(), stated.listen());
--- a/src/main/java/beaconladder/serve/Threads.java
+++ b/src/main/java/beaconladder/serve/Threads.java
@@ -14,8 +14,8 @@
     private static final int THREAD_KB = 96;
     /** The program alone was measured at 47 MB; as much again is left for large values in the heap. */
     private static final int PROGRAM_MB = 96;
-    /** Under load a thread is used again within milliseconds; later its stack is better given back. */
-    private static final int KEPT_SECONDS = 10;
+    /** Under load a thread is used again within milliseconds; each one that idles costs at every stop. */
+    private static final int KEPT_SECONDS = 2;
     private static final int FEWEST = 64;
 
     private final AtomicInteger number = new AtomicInteger();
--- a/src/main/java/beaconladder/serve/WarmUp.java
+++ b/src/main/java/beaconladder/serve/WarmUp.java
@@ -1,67 +1,99 @@
 package beaconladder.serve;
 
-import beaconladder.api.Router.Outcome;
-import beaconladder.api.Router.Role;
-import beaconladder.api.Router.Word;
-import beaconladder.fleet.Group;
-import beaconladder.fleet.Host;
 import beaconladder.pg.Outbox;
-import beaconladder.pg.Statement;
+import beaconladder.pg.Room;
 import beaconladder.roster.Watch;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/** Plays txns to a desk that is then thrown away, so that the first clients don't wait for cold code. */
+/**
+ * Plays txns from client to host and back in memory, to a router that is then thrown away, so that the first
+ * clients don't wait for cold code: on half a core a cold router took five seconds to catch up with them.
+ */
 final class WarmUp {
-    /** The first txns of a cold router took 15 ms to be placed, the twentieth on 1 ms. */
-    private static final int TXNS = 400;
-    /** A restart is not to take longer for it than about half of what the JVM takes to start. */
-    private static final long LONGEST = 200_000_000;
+    private static final int CLIENTS = 6;
+    /** After so many all that lies on a txn's way has been compiled. */
+    private static final int TXNS = 3_000;
+    /** A restart is not to take much longer for it: the others carry this router's load meanwhile. */
+    private static final long LONGEST_MILLIS = 1_000;
 
     private WarmUp() {
     }
 
-    static void run(Map<String, String> start) {
-        long until = System.nanoTime() + LONGEST;
-        Desk desk = new Desk(1, start);
-        desk.errands(new Desk.Errands() {
-            @Override
-            public void probe(Host host) {
-                desk.probed(host, Outcome.COMMITTED, word(desk, host));
-            }
-
-            @Override
-            public void closeIdle(Host host) {
-                // There is none.
-            }
-        });
+    static void run(Stated stated, Threads threads) throws InterruptedException {
+        Room room = new Room(1 << 20);
+        Desk desk = new Desk(1, stated.start());
         InetSocketAddress nowhere = new InetSocketAddress("127.0.0.1", 1);
+        InetSocketAddress primary = new InetSocketAddress("127.0.0.1", 2);
+        Lines lines = new Lines(desk, stated.start(), threads, room, (address, of) -> new Line(address, of,
+                new Tape(new byte[0], written -> host(written, address.equals(primary)))));
+        desk.errands(lines);
         desk.listed(true, List.of(
-                new Watch.Entry("a", nowhere, "", 0, Watch.State.READY, true, 0),
+                new Watch.Entry("a", primary, "", 0, Watch.State.READY, true, 0),
                 new Watch.Entry("b", nowhere, "", 0, Watch.State.READY, false, 0),
                 new Watch.Entry("c", nowhere, "", 0, Watch.State.READY, false, 0)));
-        Group group = desk.group(0);
-        int types = Integer.parseInt(start.getOrDefault("request_classes.count", "0"));
-        for (int i = 0; types > 0 && i < TXNS && System.nanoTime() < until; i++) {
-            Statement statement = Statement.read("SELECT doc FROM items WHERE id = 'k' /* id=1,c=x,t=y,d=900,cluster=0 */");
-            long now = desk.now();
-            Hand hand = desk.take("1", i % types, group, statement.session(), now - 1_000_000, "", false, now,
-                    now + 900_000_000);
-            for (Hand.Order order = hand.poll(); order != null; order = hand.poll()) {
-                if (order.kind() == Hand.Kind.SEND && desk.stands(order.submission())) {
-                    Outbox.query(statement.waiting(800));
-                    Word word = word(desk, order.submission().host);
-                    desk.ended(order.submission(), Outcome.COMMITTED, word, word,
-                            new Outbox().row("doc", new byte[64]).commandComplete("SELECT 1"));
+        Clients clients = new Clients(desk, lines, threads, room, stated.descriptors());
+        List<String> types = new ArrayList<>();
+        for (String name; (name = stated.start().get("request_classes." + types.size() + ".name")) != null;) {
+            types.add(name);
+        }
+        if (types.isEmpty()) {
+            return;
+        }
+        Thread timer = threads.make(desk);
+        timer.start();
+        AtomicInteger left = new AtomicInteger(TXNS);
+        CountDownLatch done = new CountDownLatch(CLIENTS);
+        for (int i = 0; i < CLIENTS; i++) {
+            Tape tape = new Tape(bytes(Outbox.startup("app", "shop")), written -> {
+                int n = left.decrementAndGet();
+                return n < 0 ? null : bytes(Outbox.query(query(desk, types, n)));
+            });
+            Client client = new Client(clients, desk, lines, tape);
+            threads.execute(() -> {
+                try {
+                    client.run();
+                } finally {
+                    done.countDown();
                 }
-            }
-            desk.left(hand);
-            desk.release("1");
+            });
+        }
+        done.await(LONGEST_MILLIS, TimeUnit.MILLISECONDS);
+        left.set(0);
+        desk.stop();
+        timer.interrupt();
+    }
+
+    private static String query(Desk desk, List<String> types, int n) {
+        int type = n % types.size();
+        String comment = " /* id=" + n + ",c=" + types.get(type) + ",t=t,d=900,cluster=0,after="
+                + (desk.now() / 1_000_000 - 50) + " */";
+        return desk.writes(type) ? "INSERT INTO items (id, doc) VALUES ('k" + n + "', '\\x00') RETURNING doc"
+                + comment : "SELECT doc FROM items WHERE id = 'k" + n + "'" + comment;
+    }
+
+    /** What a host says to this: the startup message, a probe, or a statement. */
+    private static byte[] host(byte[] written, boolean primary) {
+        if (written[0] != 'Q') {
+            return bytes(new Outbox().authenticationOk().ready());
         }
+        long millis = System.currentTimeMillis();
+        String load = "x0=" + millis / 1_000 + ",x1=" + (primary ? 1 : 0) + ",inflight=1";
+        boolean probe = written.length < 32;
+        return bytes(new Outbox().parameterStatus("node_role", primary ? "leader" : "follower")
+                .parameterStatus("replay_position", String.valueOf(millis)).parameterStatus("server_load", load)
+                .row("doc", probe ? load.getBytes(StandardCharsets.US_ASCII) : new byte[64])
+                .commandComplete(probe ? "SHOW" : "SELECT 1").ready());
     }
 
-    private static Word word(Desk desk, Host host) {
-        return new Word(host.group.namedByRoster == host ? Role.PRIMARY : Role.REPLICA, desk.now(), 1);
+    private static byte[] bytes(Outbox out) {
+        byte[] bytes = new byte[out.size()];
+        out.bytes().get(bytes);
+        return bytes;
     }
 }
