One thread reads for all clients; room at a host is judged by its report, too

Changed: Clients reads for all with a selector (Wire, Inbox.feed); roomFor also believes a report within 300 ms; an error counts against its host as a missing answer does.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -490,8 +490,12 @@
         // On a replica near the bound any reads hold back, so that its apply thread gets its part of the
         // cores and it stays of use to bounded reads.
         double most = Math.min((crowds ? 0.2 : 0.3) * aim(txn, now), 0.6 * left);
+        // Own times tell no crowd from work where this router alone keeps the host from being busier; what
+        // the host says that it holds does.
         if (recent && mean * (n + 1) / beside <= most
-                || mean <= most && (out == 0 || recent && n <= beside)) {
+                || mean <= most && (out == 0 || recent && n <= beside) || said(host, now)
+                && (load(host) < 2 || paces.size() >= 8 && paces.expected(load(host)) <= most)
+                && success(host, now) >= 0.4) {
             return true;
         }
         // Among few others a txn takes what the quicker half does; with less left the work would be for
@@ -702,8 +706,9 @@
             host.abandoned.add(s);
         }
         if (outcome != Outcome.CANCELLED && outcome != Outcome.MOOT) {
+            // A host that fails at once looks idle and quick; errors all over are weighed as lost answers are.
             int well = outcome == Outcome.COMMITTED && now - s.sent <= s.txn.type.sla()
-                    || outcome == Outcome.MISS || outcome == Outcome.ERROR ? 1 : 0;
+                    || outcome == Outcome.MISS ? 1 : 0;
             if (host.marks.sumSince(now - 20_000 * MS) > 0) {
                 mixed.add(1 - well, 0, now);
             }
@@ -884,11 +889,9 @@
      */
     private double[] weights() {
         double[] weights = new double[types.size()];
-        double worst = 1;
         double asked = Math.max(1, asked());
-        for (TxnType type : types) {
-            worst = type.served().size() < 8 ? worst : Math.min(worst, type.served().mean());
-        }
+        double worst = types.stream().filter(type -> type.served().size() >= 8)
+                .mapToDouble(type -> type.served().mean()).min().orElse(1);
         for (TxnType type : types) {
             double part = Math.max(0.05, mix.count(type.place()) * type.value() / asked);
             // Within a tenth of the worst a type may be the worst one soon: samples of 64 are as rough as
@@ -918,10 +921,7 @@
         List<Host> ask = new ArrayList<>();
         probeLook = NEVER;
         for (Group group : groups) {
-            int due = 0;
-            for (Host host : group.members) {
-                due += host.probeOut && !mute(host, now) ? 1 : 0;
-            }
+            long due = group.members.stream().filter(h -> h.probeOut && !mute(h, now)).count();
             for (Txn txn : group.held) {
                 if (txn.want == Txn.Want.NOTHING || !mayAsk(txn)) {
                     continue;
--- a/src/main/java/beaconladder/pg/Inbox.java
+++ b/src/main/java/beaconladder/pg/Inbox.java
@@ -5,6 +5,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -13,7 +14,7 @@
 public final class Inbox {
 
     /** What became of a wait for a message. */
-    public enum Got { MESSAGE, CLOSED, CUT, TIMED_OUT, MALFORMED, NO_ROOM }
+    public enum Got { MESSAGE, CLOSED, CUT, TIMED_OUT, MALFORMED, NO_ROOM, NOTHING }
 
     /** A value of 64 KiB is twice that in hex; the rest leaves room for the statement round it. */
     public static final int BOUND = 256 * 1024;
@@ -26,6 +27,8 @@
     private final Socket socket;
     private final InputStream in;
     private final Room room;
+    /** How many bytes the message that is coming in needs, as far as that is known. */
+    private int needed;
     /** When the message that is coming in began, or 0. */
     private long begunAt;
     private byte[] buffer = new byte[USUAL];
@@ -35,6 +38,14 @@
     private int at;
     private int end;
 
+    /** One that is fed; it waits for nothing. */
+    public Inbox(Room room) {
+        this.socket = null;
+        this.in = null;
+        this.room = room;
+    }
+
+    /** One that reads from a socket and waits. */
     public Inbox(Socket socket, Room room) throws IOException {
         this.socket = socket;
         this.room = room;
@@ -51,49 +62,92 @@
         return next(1, until, whole, BOUND);
     }
 
-    /** The first message of a client, which has no type. */
-    public Got opening(long until) {
-        return next(0, until, Long.MAX_VALUE, LONGEST_OPENING);
+    private Got next(int head, long until, long whole, int most) {
+        begunAt = 0;
+        Got got = parse(head, most);
+        while (got == Got.NOTHING) {
+            got = fill(needed, until, whole);
+            got = got == Got.MESSAGE ? parse(head, most) : got;
+        }
+        return got;
     }
 
-    private Got next(int head, long until, long whole, int most) {
-        from = end;
+    /** Takes in what the channel has, as long as there is room; how much, or -1 at the end. */
+    public int feed(ReadableByteChannel channel) throws IOException {
+        if (!makeSpace()) {
+            return 0;
+        }
+        int n = channel.read(ByteBuffer.wrap(buffer, to, buffer.length - to));
+        to += Math.max(0, n);
+        return n;
+    }
+
+    /** The next message of those fed, if all of it is there. */
+    public Got poll(boolean opening) {
+        Got got = opening ? parse(0, LONGEST_OPENING) : parse(1, BOUND);
+        begunAt = got != Got.NOTHING || to == from ? 0 : begunAt == 0 ? System.nanoTime() : begunAt;
+        return got == Got.NOTHING && to - from == buffer.length && !makeSpace() ? Got.NO_ROOM : got;
+    }
+
+    /** When the message began that has not come in whole, or 0. */
+    public long begunAt() {
+        return begunAt;
+    }
+
+    /** What has come in is of no interest. */
+    public void drop() {
+        from = to;
+        end = to;
         begunAt = 0;
-        Got got = fill(head + 4, until, whole);
-        if (got != Got.MESSAGE) {
-            return got;
+    }
+
+    /** The message that starts where the current one ends, if all of it is there. */
+    private Got parse(int head, int most) {
+        from = end;
+        needed = head + 4;
+        if (to - from < needed) {
+            return Got.NOTHING;
         }
-        type = head == 0 ? 0 : (char) (buffer[from] & 0xff);
         int length = int32(from + head);
         if (length < 4 || length > most) {
             return Got.MALFORMED;
         }
-        got = fill(head + length, until, whole);
-        if (got == Got.MESSAGE) {
-            at = from + head + 4;
-            end = from + head + length;
+        needed = head + length;
+        if (to - from < needed) {
+            return Got.NOTHING;
         }
-        return got;
+        type = head == 0 ? 0 : (char) (buffer[from] & 0xff);
+        at = from + head + 4;
+        end = from + needed;
+        return Got.MESSAGE;
+    }
+
+    /** Moves what is left to the front, and grows where that is not enough; false without room to. */
+    private boolean makeSpace() {
+        if (from > 0 && (from == to || to == buffer.length)) {
+            System.arraycopy(buffer, from, buffer, 0, to - from);
+            to -= from;
+            end -= from;
+            from = 0;
+            if (to == 0 && buffer.length > USUAL) {
+                release();
+            }
+        }
+        if (to == buffer.length) {
+            int larger = Math.min(2 * buffer.length, BOUND + 5);
+            if (!room.take(larger - buffer.length)) {
+                return false;
+            }
+            buffer = Arrays.copyOf(buffer, larger);
+        }
+        return true;
     }
 
     /** Reads until this many bytes of the message are there; the buffer grows by what came, not by claims. */
     private Got fill(int bytes, long until, long whole) {
         while (to - from < bytes) {
-            if (from > 0 && (from == to || from + bytes > buffer.length)) {
-                System.arraycopy(buffer, from, buffer, 0, to - from);
-                to -= from;
-                end -= from;
-                from = 0;
-                if (to == 0 && buffer.length > USUAL) {
-                    release();
-                }
-            }
-            if (to == buffer.length) {
-                int larger = Math.min(2 * buffer.length, BOUND + 5);
-                if (!room.take(larger - buffer.length)) {
-                    return Got.NO_ROOM;
-                }
-                buffer = Arrays.copyOf(buffer, larger);
+            if (!makeSpace()) {
+                return Got.NO_ROOM;
             }
             long now = System.nanoTime();
             long left = until == 0 ? Long.MAX_VALUE : until - now;
--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -7,7 +7,7 @@
 import beaconladder.pg.Outbox;
 import beaconladder.pg.Statement;
 import java.io.IOException;
-import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,8 +15,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** A client's connection: its reader sees the frames and the client leave, its task sees each txn through. */
-final class Client implements Runnable {
+/** A client's connection: the reader sees its messages and it leave, its task sees each txn through. */
+final class Client {
     private static final Logger LOG = LoggerFactory.getLogger(Client.class);
     private static final int VERSION_3 = 3 << 16;
     private static final int CANCEL = 80877102;
@@ -36,7 +36,6 @@
     /** Ids are short, and no client waits ten minutes; what is beyond is no id and no deadline. */
     private static final int LONGEST_ID = 128;
     private static final int LONGEST_MILLIS = 600_000;
-    private static final int LAST_LOOK_MILLIS = 50;
     /** What a client still sends after its end was told is read so long; networks need far less. */
     static final long LINGER = 500_000_000L;
 
@@ -50,100 +49,141 @@
     private final Clients clients;
     private final Desk desk;
     private final Lines lines;
-    private final Socket socket;
+    private final Wire wire;
+    private final Inbox in;
+    private boolean greeted;
+    private boolean skipping;
+    private int wasted;
     private final ArrayDeque<Work> work = new ArrayDeque<>();
     private int ahead;
+    /** Whether its reader waits for the task to get on. */
+    private boolean paused;
     private boolean busy;
     private boolean over;
     private Hand hand;
     /** When it last did something, on System.nanoTime's clock. */
     private volatile long usedAt = System.nanoTime();
-    /** When the write that is going on began, or 0. */
-    private volatile long writesSince;
     /** Whether it has asked for something that is served here. */
     private volatile boolean known;
     /** When its end was told, or 0. */
     private volatile long endedAt;
 
-    Client(Clients clients, Desk desk, Lines lines, Socket socket) {
+    Client(Clients clients, Desk desk, Lines lines, Wire wire) {
         this.clients = clients;
         this.desk = desk;
         this.lines = lines;
-        this.socket = socket;
+        this.wire = wire;
+        this.in = new Inbox(clients.room());
+    }
+
+    Wire wire() {
+        return wire;
     }
 
     long usedAt() {
         return usedAt;
     }
 
-    // ---- The reader ---------------------------------------------------------------------------------------
+    // ---- The reader: one thread for all clients, which never waits for any of them --------------------------
 
-    @Override
-    public void run() {
-        Inbox in = null;
+    /** Takes in what is there and does what it says; false when the connection is over. */
+    boolean readable() {
         try {
-            socket.setTcpNoDelay(true);
-            in = new Inbox(socket, clients.room());
-            if (!greet(in) || !read(in)) {
-                linger();
+            int n = in.feed(wire);
+            if (endedAt != 0) {
+                in.drop();
+                wasted += Math.max(0, n);
+                if (n < 0) {
+                    leave();
+                }
+            } else if (n >= 0) {
+                pump();
+            } else if (in.more()) {
+                sendAway("a message that is cut off");
+                endedAt = System.nanoTime();
+            } else {
+                leave();
             }
         } catch (IOException e) {
             LOG.debug("a client's connection broke: {}", e.toString());
+            leave();
         } catch (RuntimeException | Error e) {
             LOG.error("a client's connection ends", e);
-        } finally {
             leave();
-            if (in != null) {
-                in.release();
-            }
         }
+        return wire.isOpen();
     }
 
-    /** The opening; false when the client is sent away. */
-    private boolean greet(Inbox in) throws IOException {
-        long until = usedAt + OPENING;
-        while (true) {
-            Got got = in.opening(until);
-            if (got == Got.MALFORMED || got == Got.TIMED_OUT || got == Got.CUT || got == Got.NO_ROOM) {
-                return fatal("08P01", got == Got.TIMED_OUT ? "no startup message in time"
-                        : got == Got.CUT ? "a startup message that is cut off"
-                        : "a startup message of impossible length");
+    /** Whether more is to be read now: not of who has too much ahead, or goes on after its end. */
+    synchronized boolean reads() {
+        paused = !over && (work.size() >= AHEAD || ahead >= AHEAD_CHARS);
+        return !paused && wasted < WASTE;
+    }
+
+    /** Goes on with what is there, once its task has got on; false when the connection is over. */
+    boolean resume() {
+        try {
+            pump();
+        } catch (IOException e) {
+            leave();
+        }
+        return wire.isOpen();
+    }
+
+    /** Handles all messages that are there whole. */
+    private void pump() throws IOException {
+        while (endedAt == 0 && reads()) {
+            Got got = in.poll(!greeted);
+            if (got == Got.NOTHING) {
+                return;
             }
             if (got != Got.MESSAGE) {
-                return true;
-            }
-            int length = in.end() - in.at();
-            int version = length < 4 ? 0 : in.int32(in.at());
-            if (version == SSL || version == GSSENC) {
-                socket.getOutputStream().write('N');
-            } else if (version == CANCEL) {
-                close();
-                return true;
-            } else if (version >> 16 != 3) {
-                return fatal("0A000", "protocol " + (version >> 16) + "." + (version & 0xffff)
-                        + " is not spoken here, 3.0 is");
-            } else if (length < 5 || in.int8(in.end() - 1) != 0) {
-                return fatal("08P01", "a startup message without its end");
-            } else {
-                Outbox out = new Outbox();
-                String[] unknown = unknownOptions(in);
-                if (version != VERSION_3 || unknown.length > 0) {
-                    out.negotiateVersion(unknown);
-                }
-                if (clients.full()) {
-                    return fatal("53300", "too many connections");
+                if (greeted) {
+                    sendAway(got == Got.NO_ROOM ? "a long message while there is no room for more of them"
+                            : "a message of impossible length");
+                } else {
+                    fatal("08P01", "a startup message of impossible length");
                 }
-                send(out.authenticationOk().parameterStatus("server_version", "15.0")
-                        .parameterStatus("client_encoding", "UTF8").parameterStatus("server_encoding", "UTF8")
-                        .parameterStatus("standard_conforming_strings", "on").backendKey(0, 0).ready());
+            } else if (greeted) {
                 usedAt = System.nanoTime();
-                return true;
+                message();
+            } else {
+                greet();
+            }
+        }
+    }
+
+    /** The opening. */
+    private void greet() throws IOException {
+        int length = in.end() - in.at();
+        int version = length < 4 ? 0 : in.int32(in.at());
+        if (version == SSL || version == GSSENC) {
+            sendNow(new Outbox().raw(new byte[] {'N'}, 0, 1));
+        } else if (version == CANCEL) {
+            leave();
+        } else if (version >> 16 != 3) {
+            fatal("0A000", "protocol " + (version >> 16) + "." + (version & 0xffff)
+                    + " is not spoken here, 3.0 is");
+        } else if (length < 5 || in.int8(in.end() - 1) != 0) {
+            fatal("08P01", "a startup message without its end");
+        } else if (clients.full()) {
+            fatal("53300", "too many connections");
+        } else {
+            Outbox out = new Outbox();
+            String[] unknown = unknownOptions();
+            if (version != VERSION_3 || unknown.length > 0) {
+                out.negotiateVersion(unknown);
             }
+            greeted = true;
+            usedAt = System.nanoTime();
+            sendNow(out.authenticationOk().parameterStatus("server_version", "15.0")
+                    .parameterStatus("client_encoding", "UTF8").parameterStatus("server_encoding", "UTF8")
+                    .parameterStatus("standard_conforming_strings", "on").backendKey(0, 0).ready());
         }
     }
 
     /** The options of the protocol that the client asks for; none is known here. */
-    private static String[] unknownOptions(Inbox in) {
+    private String[] unknownOptions() {
         List<String> unknown = new ArrayList<>();
         for (int at = in.at() + 4; at < in.end() && in.int8(at) != 0;) {
             String name = in.text(at);
@@ -155,140 +195,101 @@
         return unknown.toArray(String[]::new);
     }
 
-    /** Reads frames until the client leaves; false when it is sent away. */
-    private boolean read(Inbox in) throws IOException {
-        boolean skipping = false;
-        while (true) {
-            Got got = in.next(0, WHOLE);
-            if (got == Got.CLOSED) {
-                return true;
-            }
-            if (got != Got.MESSAGE) {
-                return sendAway(got == Got.CUT ? "a message that is cut off"
-                        : got == Got.TIMED_OUT ? "a message whose rest did not come in time"
-                        : got == Got.NO_ROOM ? "a long message while there is no room for more of them"
-                        : "a message of impossible length");
-            }
-            usedAt = System.nanoTime();
-            switch (in.type()) {
-                case 'Q' -> {
-                    if (!in.texts(1)) {
-                        return sendAway("a query that is not one text");
-                    }
-                    if (!skipping) {
-                        add(new Work(in.onlyText(), desk.now(), null, false));
-                    }
+    private void message() throws IOException {
+        switch (in.type()) {
+            case 'Q' -> {
+                if (!in.texts(1)) {
+                    sendAway("a query that is not one text");
+                } else if (!skipping) {
+                    add(new Work(in.onlyText(), desk.now(), null, false));
                 }
-                case 'X' -> {
-                    return true;
-                }
-                case 'P', 'B', 'D', 'E', 'C', 'F', 'H', 'd', 'c', 'f' -> {
-                    if (!skipping) {
-                        skipping = true;
-                        add(new Work(null, 0, new Outbox().error("ERROR", "0A000",
-                                "only simple queries are spoken here", null), false));
-                    }
-                }
-                case 'S' -> {
-                    skipping = false;
-                    add(new Work(null, 0, new Outbox().ready(), false));
-                }
-                default -> {
-                    return sendAway("a message of an unknown type");
+            }
+            case 'X' -> leave();
+            case 'P', 'B', 'D', 'E', 'C', 'F', 'H', 'd', 'c', 'f' -> {
+                if (!skipping) {
+                    skipping = true;
+                    add(new Work(null, 0, new Outbox().error("ERROR", "0A000",
+                            "only simple queries are spoken here", null), false));
                 }
             }
+            case 'S' -> {
+                skipping = false;
+                add(new Work(null, 0, new Outbox().ready(), false));
+            }
+            default -> sendAway("a message of an unknown type");
         }
     }
 
-    private boolean sendAway(String cause) throws IOException {
+    private void sendAway(String cause) throws IOException {
         add(new Work(null, 0, new Outbox().error("FATAL", "08P01", cause, null), true));
-        return false;
+        endedAt = System.nanoTime();
+    }
+
+    private void fatal(String code, String message) throws IOException {
+        sendNow(new Outbox().error("FATAL", code, message, null));
+        wire.endWriting();
+        endedAt = System.nanoTime();
     }
 
     private void add(Work next) throws IOException {
         synchronized (this) {
-            while ((work.size() >= AHEAD || ahead >= AHEAD_CHARS) && !over) {
-                pause(0);
+            if (busy || over || next.messages() == null) {
+                work.add(next);
+                ahead += next.length();
+                if (busy || over) {
+                    return;
+                }
+                busy = true;
             }
-            work.add(next);
-            ahead += next.length();
-            if (busy || over) {
+        }
+        // What needs no task is written here; nobody else writes while none is busy.
+        if (next.messages() == null) {
+            if (clients.execute(this::serve)) {
                 return;
             }
-            busy = true;
-        }
-        if (!clients.execute(this::serve)) {
             synchronized (this) {
                 work.clear();
+                ahead = 0;
                 busy = false;
             }
             // No thread is left to see a txn through: it is declined here, before it is taken in hand.
-            send(next.messages() != null ? next.messages() : new Outbox().error("ERROR", "53300",
+            sendNow(new Outbox().error("ERROR", "53300",
                     "declined, as too many txns are in hand; it has not run", null).ready());
+        } else {
+            sendNow(next.messages());
             if (next.last()) {
-                socket.shutdownOutput();
+                wire.endWriting();
             }
         }
     }
 
-    /** Once the end has been told, reads on for a while, so that the message is not lost by a reset. */
-    private void linger() throws IOException {
-        synchronized (this) {
-            while (busy && !socket.isOutputShutdown()) {
-                pause(0);
-            }
-        }
-        long until = System.nanoTime() + LINGER;
-        byte[] waste = new byte[4096];
-        int read = 0;
-        for (long left = LINGER; left > 0 && read < WASTE; left = until - System.nanoTime()) {
-            socket.setSoTimeout((int) (left / 1_000_000) + 1);
-            int n = socket.getInputStream().read(waste);
-            if (n < 0) {
-                return;
-            }
-            read += n;
-        }
-        if (read >= WASTE) {
-            // What comes on and on is not read; the sender has a moment to see why before it is reset.
-            synchronized (this) {
-                pause(LAST_LOOK_MILLIS);
-            }
+    /** Writes a short message without waiting; who lets even that pile up is sent away. */
+    private void sendNow(Outbox out) throws IOException {
+        ByteBuffer bytes = out.bytes();
+        wire.write(bytes);
+        if (bytes.hasRemaining()) {
+            throw new IOException("the client takes nothing in");
         }
     }
 
-    private void pause(long millis) throws IOException {
-        try {
-            wait(millis);
-        } catch (InterruptedException e) {
-            throw new IOException("interrupted", e);
-        }
-    }
-
-    private void leave() {
+    void leave() {
         Hand current;
         synchronized (this) {
             over = true;
             work.clear();
             current = hand;
-            notifyAll();
         }
         if (current != null) {
             desk.left(current);
         }
         close();
         clients.gone(this);
-    }
-
-    private boolean fatal(String code, String message) throws IOException {
-        send(new Outbox().error("FATAL", code, message, null));
-        socket.shutdownOutput();
-        return false;
+        in.release();
     }
 
     void close() {
         try {
-            socket.close();
+            wire.close();
         } catch (IOException e) {
             // It is gone either way.
         }
@@ -304,23 +305,45 @@
         return endedAt != 0;
     }
 
-    /** Closes what its client has not closed some time after its end. */
-    void sweep(long now) {
-        long writes = writesSince;
-        if (endedAt != 0 && now - endedAt > LINGER || writes != 0 && now - writes > STUCK) {
-            close();
+    /** Sends those away that are late with what they began; false when the connection is over. */
+    boolean sweep(long now) {
+        long ended = endedAt;
+        if (!wire.isOpen() || ended != 0 && now - ended > LINGER && !busy()) {
+            leave();
+            return false;
+        }
+        try {
+            if (ended == 0 && !greeted && now - usedAt > OPENING) {
+                fatal("08P01", "no startup message in time");
+            } else if (ended == 0 && in.begunAt() != 0 && now - in.begunAt() > WHOLE) {
+                sendAway("a message whose rest did not come in time");
+            }
+        } catch (IOException e) {
+            leave();
         }
+        return wire.isOpen();
     }
 
-    /** Ends the connection if nothing is in hand on it; the client sees its end. */
-    synchronized boolean closeIfIdle() {
-        if (busy || !work.isEmpty() || over) {
+    private synchronized boolean busy() {
+        return busy;
+    }
+
+    /**
+     * Ends the connection if nothing is in hand on it, nor has come in unread; the client sees its end. For
+     * the reader alone.
+     */
+    boolean closeIfIdle() {
+        return endedAt == 0 && readable() && endIfIdle();
+    }
+
+    private synchronized boolean endIfIdle() {
+        if (busy || !work.isEmpty() || over || endedAt != 0 || known && in.begunAt() != 0) {
             return false;
         }
         over = true;
         endedAt = System.nanoTime();
         try {
-            socket.shutdownOutput();
+            wire.endWriting();
         } catch (IOException e) {
             close();
         }
@@ -333,14 +356,19 @@
         boolean well = true;
         while (true) {
             Work next;
+            boolean resume;
             synchronized (this) {
                 next = well ? work.poll() : null;
                 ahead -= next == null ? 0 : next.length();
-                notifyAll();
                 if (next == null) {
                     busy = false;
                     break;
                 }
+                resume = paused;
+                paused = false;
+            }
+            if (resume) {
+                clients.resume(this);
             }
             try {
                 if (next.messages() != null) {
@@ -351,7 +379,8 @@
                     answer(next.query(), next.arrived());
                 }
                 if (next.last()) {
-                    socket.shutdownOutput();
+                    wire.endWriting();
+                    endedAt = System.nanoTime();
                     well = false;
                 }
             } catch (IOException e) {
@@ -368,7 +397,7 @@
             usedAt = System.nanoTime();
         }
         if (clients.draining()) {
-            closeIfIdle();
+            clients.resume(this);
         }
     }
 
@@ -480,11 +509,18 @@
         return number;
     }
 
-    private void send(Outbox out) throws IOException {
-        if (out.size() > 0) {
-            writesSince = System.nanoTime();
-            out.writeTo(socket.getOutputStream());
-            writesSince = 0;
+    /** Writes all of it, and waits for who takes it in slowly. */
+    private void send(Outbox out) throws IOException, InterruptedException {
+        ByteBuffer bytes = out.bytes();
+        long moved = System.nanoTime();
+        while (bytes.hasRemaining()) {
+            if (wire.write(bytes) > 0) {
+                moved = System.nanoTime();
+            } else if (System.nanoTime() - moved > STUCK) {
+                throw new IOException("the client takes nothing in");
+            } else {
+                Thread.sleep(2);
+            }
         }
     }
 }
--- a/src/main/java/beaconladder/serve/Clients.java
+++ b/src/main/java/beaconladder/serve/Clients.java
@@ -3,11 +3,16 @@
 import beaconladder.pg.Room;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.util.Comparator;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -18,6 +23,7 @@
     /** Descriptors for the program itself (about 20), the watch, and clients that are only told to go. */
     private static final int RESERVE = 64;
     private static final int BACKLOG = 1024;
+    private static final int SWEEP_MILLIS = 100;
     /** Who was busy so lately may have a query on its way. */
     private static final long LATELY = 100_000_000;
     /** Clients that come back do so within a second or two; past that a connection is mostly left behind. */
@@ -28,11 +34,12 @@
     private final Threads threads;
     private final Room room;
     private final int most;
-    private final int mostClients;
     /** So many connections may be held by those who have asked for nothing yet that is served here. */
     private final int mostStrangers;
     private final Set<Client> all = ConcurrentHashMap.newKeySet();
-    private ServerSocket listener;
+    private final Queue<Client> resumed = new ConcurrentLinkedQueue<>();
+    private Selector selector;
+    private ServerSocketChannel listener;
     private volatile boolean draining;
     private volatile boolean closed;
 
@@ -43,48 +50,103 @@
         this.room = room;
         this.most = Math.max(1, descriptors - RESERVE);
         this.mostStrangers = Math.max(8, most / 5);
-        // Half of the threads read for clients; a txn in hand takes one more, its task.
-        this.mostClients = threads.most() / 2;
     }
 
     void listen(InetSocketAddress address) throws IOException {
-        listener = new ServerSocket();
-        listener.setReuseAddress(true);
+        selector = Selector.open();
+        listener = ServerSocketChannel.open();
+        listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         listener.bind(address, BACKLOG);
+        listener.configureBlocking(false);
+        listener.register(selector, SelectionKey.OP_ACCEPT);
     }
 
+    /** Reads for all clients until the last has gone after the end. */
     @Override
     public void run() {
-        while (!closed) {
+        long swept = System.nanoTime();
+        boolean ends = false;
+        while (!draining || !all.isEmpty()) {
             try {
-                Socket socket = listener.accept();
-                if (all.stream().filter(client -> !client.known()).count() >= mostStrangers) {
-                    closeOldest(client -> !client.known());
+                selector.select(this::ready, SWEEP_MILLIS);
+                for (Client client = resumed.poll(); client != null; client = resumed.poll()) {
+                    if (all.contains(client) && client.resume()) {
+                        interest(client);
+                        if (draining) {
+                            client.closeIfIdle();
+                        }
+                    }
                 }
-                if (all.size() >= mostClients) {
-                    closeOldest(client -> true);
-                } else if (all.size() + lines.open() >= most) {
-                    makeRoom();
+                if (draining && !ends) {
+                    ends = true;
+                    all.forEach(Client::closeIfIdle);
                 }
-                Client client = new Client(this, desk, lines, socket);
-                all.add(client);
-                try {
-                    threads.execute(client);
-                } catch (RuntimeException | Error e) {
-                    all.remove(client);
-                    client.close();
-                    throw e;
+                long now = System.nanoTime();
+                if (now - swept >= SWEEP_MILLIS * 1_000_000L) {
+                    swept = now;
+                    sweep(now);
                 }
             } catch (IOException | RuntimeException | Error e) {
-                if (!closed) {
-                    LOG.error("taking clients in goes on after a fault", e);
+                LOG.error("reading for clients goes on after a fault", e);
+                makeRoom();
+                pause();
+            }
+        }
+    }
+
+    private void ready(SelectionKey key) {
+        if (!key.isValid()) {
+            return;
+        }
+        if (key.attachment() instanceof Client client) {
+            if (client.readable()) {
+                interest(client);
+            }
+        } else {
+            accept();
+        }
+    }
+
+    private void interest(Client client) {
+        SelectionKey key = ((Wire.Real) client.wire()).channel().keyFor(selector);
+        if (key != null && key.isValid()) {
+            key.interestOps(client.reads() ? SelectionKey.OP_READ : 0);
+        }
+    }
+
+    private void accept() {
+        try {
+            SocketChannel channel;
+            while (!closed && (channel = listener.accept()) != null) {
+                if (all.stream().filter(client -> !client.known()).count() >= mostStrangers) {
+                    closeOldest(client -> !client.known());
+                }
+                if (all.size() + lines.open() >= most) {
                     makeRoom();
-                    pause();
                 }
+                Client client = new Client(this, desk, lines, new Wire.Real(channel));
+                all.add(client);
+                channel.configureBlocking(false);
+                channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+                channel.register(selector, SelectionKey.OP_READ, client);
+            }
+        } catch (IOException e) {
+            if (!closed) {
+                LOG.error("taking clients in goes on after a fault", e);
+                makeRoom();
+                pause();
             }
         }
     }
 
+    /** A client's task has room again for what the client wrote ahead. */
+    void resume(Client client) {
+        resumed.add(client);
+        if (selector != null) {
+            selector.wakeup();
+        }
+    }
+
     /** Who has said nothing goes first, then idle connections to hosts, then idle clients. */
     private void makeRoom() {
         if (!closeOldest(client -> !client.known()) && !lines.closeOldest()) {
@@ -111,23 +173,24 @@
     /** Whether a client that has just come can't be kept. */
     boolean full() {
         int held = all.size() + lines.open();
-        if (held <= most && all.size() <= mostClients) {
+        if (held <= most) {
             return false;
         }
         // Those who have been told to go still hold theirs for a moment, out of half of the reserve.
         long ending = all.stream().filter(Client::ending).count();
-        return held > most + RESERVE / 2 || held - ending > most || all.size() - ending > mostClients;
+        return held > most + RESERVE / 2 || held - ending > most;
     }
 
-    void sweep() {
-        long now = System.nanoTime();
+    private void sweep(long now) {
         boolean many = all.size() > most / 8;
-        all.forEach(client -> {
-            client.sweep(now);
-            if (many && client.usedAt() < now - LONG_IDLE) {
-                client.closeIfIdle();
+        for (Client client : all) {
+            if (client.sweep(now)) {
+                interest(client);
+                if (many && client.usedAt() < now - LONG_IDLE) {
+                    client.closeIfIdle();
+                }
             }
-        });
+        }
     }
 
     Room room() {
@@ -164,6 +227,6 @@
         } catch (IOException e) {
             LOG.warn("the listener: {}", e.toString());
         }
-        all.forEach(Client::closeIfIdle);
+        selector.wakeup();
     }
 }
--- a/src/main/java/beaconladder/serve/Serve.java
+++ b/src/main/java/beaconladder/serve/Serve.java
@@ -101,7 +101,6 @@
             try {
                 Thread.sleep(SWEEP_MILLIS);
                 lines.sweep();
-                clients.sweep();
                 desk.sweep();
             } catch (InterruptedException e) {
                 return;
--- a/src/main/java/beaconladder/serve/WarmUp.java
+++ b/src/main/java/beaconladder/serve/WarmUp.java
@@ -4,12 +4,14 @@
 import beaconladder.pg.Room;
 import beaconladder.roster.Watch;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 
 /**
  * Plays txns from client to host and back in memory, to a router that is then thrown away, so that the first
@@ -50,14 +52,16 @@
         AtomicInteger left = new AtomicInteger(TXNS);
         CountDownLatch done = new CountDownLatch(CLIENTS);
         for (int i = 0; i < CLIENTS; i++) {
-            Tape tape = new Tape(bytes(Outbox.startup("app", "shop")), written -> {
+            ClientTape tape = new ClientTape(bytes(Outbox.startup("app", "shop")), written -> {
                 int n = left.decrementAndGet();
                 return n < 0 ? null : bytes(Outbox.query(query(desk, types, n)));
             });
             Client client = new Client(clients, desk, lines, tape);
             threads.execute(() -> {
                 try {
-                    client.run();
+                    while (client.readable()) {
+                        tape.await();
+                    }
                 } finally {
                     done.countDown();
                 }
@@ -96,4 +100,62 @@
         out.bytes().get(bytes);
         return bytes;
     }
+
+    /** A client in memory, which answers each write of the router's with its next query. */
+    private static final class ClientTape implements Wire {
+        private final UnaryOperator<byte[]> answer;
+        private ByteBuffer next;
+
+        ClientTape(byte[] first, UnaryOperator<byte[]> answer) {
+            this.next = ByteBuffer.wrap(first);
+            this.answer = answer;
+        }
+
+        synchronized void await() {
+            try {
+                if (next != null && !next.hasRemaining()) {
+                    wait(LONGEST_MILLIS);
+                }
+            } catch (InterruptedException e) {
+                close();
+            }
+        }
+
+        @Override
+        public synchronized int read(ByteBuffer into) {
+            if (next == null) {
+                return -1;
+            }
+            int n = Math.min(into.remaining(), next.remaining());
+            into.put(next.slice().limit(n));
+            next.position(next.position() + n);
+            return n;
+        }
+
+        @Override
+        public synchronized int write(ByteBuffer from) {
+            byte[] written = new byte[from.remaining()];
+            from.get(written);
+            byte[] said = next == null ? null : answer.apply(written);
+            next = said == null ? null : ByteBuffer.wrap(said);
+            notifyAll();
+            return written.length;
+        }
+
+        @Override
+        public void endWriting() {
+            close();
+        }
+
+        @Override
+        public synchronized boolean isOpen() {
+            return next != null;
+        }
+
+        @Override
+        public synchronized void close() {
+            next = null;
+            notifyAll();
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/beaconladder/serve/Wire.java
@@ -0,0 +1,40 @@
+package beaconladder.serve;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ByteChannel;
+import java.nio.channels.SocketChannel;
+
+/** A client's connection, which never makes its user wait: it reads and writes what can be done at once. */
+interface Wire extends ByteChannel {
+    /** Ends what is written; the other side may still write. */
+    void endWriting() throws IOException;
+
+    /** Over a socket. */
+    record Real(SocketChannel channel) implements Wire {
+        @Override
+        public int read(ByteBuffer into) throws IOException {
+            return channel.read(into);
+        }
+
+        @Override
+        public int write(ByteBuffer from) throws IOException {
+            return channel.write(from);
+        }
+
+        @Override
+        public void endWriting() throws IOException {
+            channel.shutdownOutput();
+        }
+
+        @Override
+        public boolean isOpen() {
+            return channel.isOpen();
+        }
+
+        @Override
+        public void close() throws IOException {
+            channel.close();
+        }
+    }
+}
