A connection with half a message in is not taken for idle

A printed trace of what is dropped after an end showed the rest of an INSERT of 4 KB: its first 2 KB had been read right before the connection was taken for an idle stranger (Clients.closeOldest, Client.endIfIdle). Ruled out: tasks that throw, clients declined at the door, the drain.

--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -329,15 +329,16 @@
     }
 
     /**
-     * Ends the connection if nothing is in hand on it, nor has come in unread; the client sees its end. For
-     * the reader alone.
+     * Ends the connection if it has lain idle since before this nanoTime, with what has come in unread looked
+     * at first; the client sees its end. For the reader alone.
      */
-    boolean closeIfIdle() {
-        return endedAt == 0 && readable() && endIfIdle();
+    boolean closeIfIdle(long since) {
+        return endedAt == 0 && readable() && usedAt < since && endIfIdle(since);
     }
 
-    private synchronized boolean endIfIdle() {
-        if (busy || !work.isEmpty() || over || endedAt != 0 || known && in.begunAt() != 0) {
+    private synchronized boolean endIfIdle(long since) {
+        long begun = in.begunAt();
+        if (busy || !work.isEmpty() || over || endedAt != 0 || begun != 0 && (known || begun >= since)) {
             return false;
         }
         over = true;
--- a/src/main/java/beaconladder/serve/Clients.java
+++ b/src/main/java/beaconladder/serve/Clients.java
@@ -73,13 +73,13 @@
                     if (all.contains(client) && client.resume()) {
                         interest(client);
                         if (draining) {
-                            client.closeIfIdle();
+                            client.closeIfIdle(Long.MAX_VALUE);
                         }
                     }
                 }
                 if (draining && !ends) {
                     ends = true;
-                    all.forEach(Client::closeIfIdle);
+                    all.forEach(client -> client.closeIfIdle(Long.MAX_VALUE));
                 }
                 long now = System.nanoTime();
                 if (now - swept >= SWEEP_MILLIS * 1_000_000L) {
@@ -158,8 +158,8 @@
         long lately = System.nanoTime() - LATELY;
         return all.stream().filter(of)
                 .filter(client -> client.usedAt() < lately && !client.ending())
-                .sorted(Comparator.comparingLong(Client::usedAt)).filter(Client::closeIfIdle).findFirst()
-                .isPresent();
+                .sorted(Comparator.comparingLong(Client::usedAt))
+                .filter(client -> client.closeIfIdle(lately)).findFirst().isPresent();
     }
 
     private static void pause() {
@@ -187,7 +187,7 @@
             if (client.sweep(now)) {
                 interest(client);
                 if (many && client.usedAt() < now - LONG_IDLE) {
-                    client.closeIfIdle();
+                    client.closeIfIdle(now - LONG_IDLE);
                 }
             }
         }
