--- a/src/main/java/beaconladder/app/Main.java
+++ b/src/main/java/beaconladder/app/Main.java
@@ -9,6 +9,7 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.lang.reflect.Proxy;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.concurrent.Semaphore;
@@ -82,9 +83,21 @@
         }
     }
 
-    @SuppressWarnings("sunapi")
+    /** By name, as the compiler warns of this class, and there is no other way to take a signal. */
     private static void takeHangups(Semaphore hangups) {
-        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> hangups.release());
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object release = Proxy.newProxyInstance(Main.class.getClassLoader(), new Class<?>[] {handler},
+                    (proxy, method, args) -> {
+                        hangups.release();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), release);
+        } catch (ReflectiveOperationException e) {
+            System.err.println("beaconladder: this JVM leaves SIGHUP to itself, which ends it: " + e);
+        }
     }
 
     private static void fail(String message) {
--- a/src/main/java/beaconladder/serve/Desk.java
+++ b/src/main/java/beaconladder/serve/Desk.java
@@ -125,6 +125,17 @@
         return router.keepIdle();
     }
 
+    /** How much it holds: hosts, their addresses, group members, txns and ids. */
+    int held() {
+        lock.lock();
+        try {
+            return hosts.size() + addresses.size() + hands.size() + ids.size()
+                    + groups.values().stream().mapToInt(group -> group.members.size()).sum();
+        } finally {
+            lock.unlock();
+        }
+    }
+
     boolean knowsHosts() {
         return !addresses.isEmpty();
     }
--- a/src/test/java/beaconladder/LogicTest.java
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -65,6 +65,47 @@
                 """);
     }
 
+    /** Its own times are work, not queue, while it alone keeps a host busy; the host's report tells so. */
+    @Test
+    void aHostThatSaysItHoldsLittleHasRoomThoughItsTimesScaledWouldBeTooLong() {
+        Script s = Script.warm("replicas_of_me=3");
+        for (int i = 1; i <= 12; i++) {
+            s.ask(i, ANY, 0, 2000).tick(170 * i).end(i, Outcome.COMMITTED, Role.REPLICA, 170 * i);
+        }
+        s.probed("b", Role.REPLICA, 2040, 0).probed("c", Role.REPLICA, 2040, 0).quiet();
+        s.ask(21, ANY, 0, 2000).ask(22, ANY, 0, 2000).ask(23, ANY, 0, 2000).ask(24, ANY, 0, 2000)
+                .ask(25, ANY, 0, 2000);
+        assertThat(s.trace()).isEqualTo("""
+                2040 ask 21 any
+                2040   send 21 to b
+                2040 ask 22 any
+                2040   send 22 to c
+                2040 ask 23 any
+                2040   send 23 to b
+                2040 ask 24 any
+                2040   send 24 to c
+                2040 ask 25 any
+                """);
+    }
+
+    /** It looks idle and quick, and would get all the reads. */
+    @Test
+    void aHostThatFailsAtOnceGetsFewReads() {
+        Script s = Script.warm();
+        int atB = 0;
+        for (int i = 1; i <= 60; i++) {
+            s.probed("b", Role.REPLICA, 40 * i - 40, 0).probed("c", Role.REPLICA, 40 * i - 40, 0).quiet()
+                    .ask(i, ANY, 0, 2000);
+            boolean b = s.trace().contains("to b");
+            atB += b && i > 20 ? 1 : 0;
+            s.tick(40 * i).end(i, b ? Outcome.ERROR : Outcome.COMMITTED, Role.REPLICA, 40 * i);
+            if (b) {
+                s.tick(40 * i + 20).end(i, Outcome.COMMITTED, Role.REPLICA, 40 * i);
+            }
+        }
+        assertThat(atB).isLessThan(5);
+    }
+
     @Test
     void aSessionWithItsWritesRememberedHereWaitsForTheirCommit() {
         Script s = Script.warm("family_info.session_marks=router").ask(1, SESSION, 0, 2000)
--- a/src/test/java/beaconladder/serve/PartsTest.java
+++ b/src/test/java/beaconladder/serve/PartsTest.java
@@ -3,11 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import beaconladder.api.Router.Word;
+import beaconladder.pg.Room;
 import beaconladder.pg.Statement;
 import beaconladder.roster.Json;
 import beaconladder.roster.Watch;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
@@ -154,4 +157,27 @@
                 an entry without id or group
                 """);
     }
+
+    /** Hosts come and go under new ids all day; nothing is held for those that are gone. */
+    @Test
+    void hostsThatAreGoneAreLetGo() throws Exception {
+        Map<String, String> start = new LinkedHashMap<>(Map.of("request_classes.count", "1",
+                "family_info.freshness", "loose", "zones", "east"));
+        Desk desk = new Desk(1, start);
+        desk.errands(new Lines(desk, start, Runnable::run, new Room(0), (address, room) -> {
+            throw new IOException("nobody there");
+        }));
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
+        for (int i = 0; i < 3_000; i++) {
+            desk.listed(false, List.of(new Watch.Entry("s" + i, address, "east", i % 2, Watch.State.READY, false,
+                    0), new Watch.Entry("s" + (i - 5), null, "east", i % 2, Watch.State.GONE, false, 0)));
+            Statement read = Statement.read("SELECT doc FROM items WHERE id = 'k' /* id=1,c=x,d=9 */");
+            Hand hand = desk.take("t" + i, 0, desk.group(i % 2), read, Word.NONE, desk.now(),
+                    desk.now() + 1_000_000);
+            desk.left(hand);
+            desk.release("t" + i);
+            desk.sweep();
+        }
+        assertThat(desk.held()).isLessThan(30);
+    }
 }
--- a/src/test/java/beaconladder/serve/ServeIT.java
+++ b/src/test/java/beaconladder/serve/ServeIT.java
@@ -112,7 +112,9 @@
         start();
         Caller c = caller();
         for (Manner manner : List.of(Manner.MISS, Manner.BEHIND, Manner.ERROR, Manner.FULL, Manner.RESET,
-                Manner.CUT, Manner.GARBAGE, Manner.TWO_ROWS, Manner.HUGE, Manner.UNKNOWN, Manner.SILENT)) {
+                Manner.CUT, Manner.GARBAGE, Manner.TWO_ROWS, Manner.HUGE, Manner.UNKNOWN, Manner.SILENT,
+                Manner.NO_DESCRIPTION, Manner.TWO_COLUMNS, Manner.INNER_LENGTH, Manner.ERROR_BEHIND_ROW,
+                Manner.HALF_AN_ERROR, Manner.ODD_TAG, Manner.STALL)) {
             a.manner = manner;
             b.manner = manner;
             int before = a.queries.size() + b.queries.size();
@@ -136,9 +138,109 @@
                 HUGE: E:40003 Z
                 UNKNOWN: E:40003 Z
                 SILENT: E:40003 Z
+                NO_DESCRIPTION: E:40003 Z
+                TWO_COLUMNS: E:40003 Z
+                INNER_LENGTH: E:40003 Z
+                ERROR_BEHIND_ROW: E:40003 Z
+                HALF_AN_ERROR: E:40003 Z
+                ODD_TAG: E:40003 Z
+                STALL: E:40003 Z
                 """);
     }
 
+    /** A spoilt answer is known to be one long before the txn's time is over. */
+    @Test
+    void aReadWhoseAnswerIsSpoiltOrBreaksOffGoesAgainInTime() throws Exception {
+        start();
+        Caller c = caller();
+        HostStandIn d = keep(new HostStandIn("follower"));
+        discovery.list(false, d.entry("d", "Ready"));
+        await(() -> ask(c, read("warm", 2000)).contains("C:SELECT 1") && !d.queries.isEmpty());
+        b.manner = Manner.STALL;
+        d.value = new byte[] {5};
+        int before = b.queries.size();
+        while (b.queries.size() == before) {
+            long from = System.nanoTime();
+            assertThat(c.ask(read("r" + from, 1500))).isEqualTo("T D:05 C:SELECT 1 Z");
+            assertThat(System.nanoTime() - from).isLessThan(450_000_000L);
+        }
+    }
+
+    @Test
+    void whatAHostSendsBehindItsAnswerIsNeverServedToTheNextTxn() throws Exception {
+        start();
+        Caller c = caller();
+        b.manner = Manner.TWICE;
+        for (int i = 1; i <= 20; i++) {
+            b.value = new byte[] {(byte) i};
+            say(c.ask(read("t" + i, 1500)));
+        }
+        assertThat(trace.toString()).isEqualTo(java.util.stream.IntStream.rangeClosed(1, 20)
+                .mapToObj(i -> "T D:%02x C:SELECT 1 Z\n".formatted(i)).collect(Collectors.joining()));
+    }
+
+    @Test
+    void theIdOfATxnInHandIsRefusedAndThatTxnIsUnharmed() throws Exception {
+        start();
+        b.delayMillis = 300;
+        Caller first = caller();
+        Caller second = caller();
+        Outbox.query(read("same", 2000)).writeTo(first.out);
+        await(() -> b.queries.size() == 1);
+        say(second.ask(read("same", 2000)), first.answer(), second.ask(read("same", 2000)));
+        assertThat(trace.toString())
+                .isEqualTo("E:22023 Z\nT D:00ff27 C:SELECT 1 Z\nT D:00ff27 C:SELECT 1 Z\n");
+    }
+
+    /** Each is told within three seconds, and the usual clients don't notice. */
+    @Test
+    void whoConnectsAndSaysNothingOrHalfAMessageIsToldAndClosed() throws Exception {
+        sockets = 200;
+        start();
+        Caller usual = caller();
+        ask(usual, read("warm", 2000));
+        List<Caller> bad = new ArrayList<>();
+        long from = System.nanoTime();
+        for (int i = 0; i < 120; i++) {
+            Caller each = new Caller(keep(new Socket(InetAddress.getLoopbackAddress(), router.port)));
+            if (i % 3 > 0) {
+                each.out.write(HexFormat.of().parseHex("000000"));
+            }
+            if (i % 3 > 1) {
+                each.out.write(HexFormat.of().parseHex("0900030000005100000fff4142"));
+            }
+            bad.add(each);
+            assertThat(usual.ask(read("u" + i, 2000))).isEqualTo("T D:00ff27 C:SELECT 1 Z");
+        }
+        for (Caller each : bad) {
+            assertThat(each.rest()).isIn("E:08P01 closed", "R S S S S K Z E:08P01 closed", "closed",
+                    "R S S S S K Z closed");
+        }
+        assertThat(System.nanoTime() - from).isLessThan(3_000_000_000L);
+        assertThat(usual.ask(read("end", 2000))).isEqualTo("T D:00ff27 C:SELECT 1 Z");
+        assertThat(router.threads()).isLessThan(60);
+    }
+
+    /** The first part of it was read; a look for idle connections came before the rest. */
+    @Test
+    void aQueryThatComesInPiecesIsServedAlsoNearTheLimit() throws Exception {
+        sockets = 76;
+        start();
+        Caller slow = new Caller(keep(new Socket(InetAddress.getLoopbackAddress(), router.port)));
+        Outbox.startup("app", "shop").writeTo(slow.out);
+        assertThat(slow.answer()).isEqualTo("R S S S S K Z");
+        TimeUnit.MILLISECONDS.sleep(200);
+        Outbox query = Outbox.query(write("pieces", 2000).replace("9f03", "9f03".repeat(1500)));
+        byte[] bytes = new byte[query.size()];
+        query.bytes().get(bytes);
+        slow.out.write(bytes, 0, 2500);
+        for (int i = 0; i < 10; i++) {
+            caller();
+        }
+        slow.out.write(bytes, 2500, bytes.length - 2500);
+        assertThat(slow.answer()).isEqualTo("T D:00ff27 C:SELECT 1 Z");
+    }
+
     @Test
     void whatCannotBeReadIsRefusedByNameAndNoHostSeesIt() throws Exception {
         start();
@@ -496,6 +598,39 @@
                 + "draining T D:00ff27 C:SELECT 1 Z\nmoved T D:00ff27 C:SELECT 1 Z\n");
     }
 
+    @Test
+    void aReloadMovesTheWatchAndAFileThatCannotBeReadChangesNothing() throws Exception {
+        start();
+        Caller c = caller();
+        ask(c, read("warm", 2000));
+        long faults = 0;
+        for (int i = 0; i < 2; i++) {
+            DiscoveryStandIn before = discovery;
+            HostStandIn d = keep(new HostStandIn("follower"));
+            discovery = keep(new DiscoveryStandIn());
+            discovery.list(true, a.entry("a", "Ready"), d.entry("d" + i, "Ready"));
+            router.reload(config(router.port));
+            long from = System.nanoTime();
+            await(() -> ask(c, read("r" + System.nanoTime(), 1500)).contains("C:") && !d.queries.isEmpty());
+            assertThat(System.nanoTime() - from).isLessThan(3_000_000_000L);
+            int calls = before.calls.get();
+            before.close();
+            for (String bad : List.of("", "{", config(router.port).replace("\"discovery\":\"127", "\"d\":\"1"),
+                    config(router.port).replace("\"role\":\"leader\"}", "\"state\":\"Asleep\"}"))) {
+                router.reload(bad);
+                long told = ++faults;
+                await(() -> router.log().lines().filter(l -> l.contains("not reloaded")).count() == told);
+            }
+            assertThat(before.calls.get()).isEqualTo(calls);
+            say(c.ask(read("after" + i, 1500)));
+        }
+        router.process.toHandle().destroy();
+        assertThat(router.process.waitFor(10, TimeUnit.SECONDS)).isTrue();
+        assertThat(router.process.exitValue()).isZero();
+        assertThat(router.log().lines().filter(l -> l.contains("not reloaded"))).hasSize(8);
+        assertThat(trace.toString()).isEqualTo("T D:00ff27 C:SELECT 1 Z\n".repeat(2));
+    }
+
     // ---- Life of the program ------------------------------------------------------------------------------
 
     @Test
@@ -657,10 +792,11 @@
         final Process process;
         final int port;
         private final Path log;
+        private final Path file;
 
         Program(String config, int port) throws IOException {
             this.port = port;
-            Path file = Files.createTempFile(folder, "config", ".json");
+            file = Files.createTempFile(folder, "config", ".json");
             Files.writeString(file, config);
             log = Files.createTempFile(folder, "log", ".txt");
             String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
@@ -671,6 +807,11 @@
             process = builder.start();
         }
 
+        void reload(String config) throws IOException, InterruptedException {
+            Files.writeString(file, config);
+            new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).start().waitFor();
+        }
+
         String log() {
             try {
                 return Files.readString(log);
@@ -773,7 +914,8 @@
 
     /** How a host stand-in takes a statement. */
     private enum Manner {
-        ANSWER, MISS, BEHIND, ERROR, FULL, RESET, CUT, GARBAGE, TWO_ROWS, HUGE, UNKNOWN, SILENT
+        ANSWER, MISS, BEHIND, ERROR, FULL, RESET, CUT, GARBAGE, TWO_ROWS, HUGE, UNKNOWN, SILENT,
+        NO_DESCRIPTION, TWO_COLUMNS, INNER_LENGTH, ERROR_BEHIND_ROW, HALF_AN_ERROR, ODD_TAG, STALL, TWICE
     }
 
     /** A database host, as the published protocol has it. */
@@ -879,6 +1021,25 @@
                         .writeTo(out);
                 case HUGE -> out.write(ByteBuffer.allocate(5).put((byte) 'D').putInt(0x7fffffff).array());
                 case UNKNOWN -> out.write(new byte[] {'G', 0, 0, 0, 4});
+                case NO_DESCRIPTION -> {
+                    byte[] row = new byte[new Outbox().row("doc", value).size() - 28];
+                    new Outbox().row("doc", value).bytes().get(28, row);
+                    said().raw(row, 0, row.length).commandComplete("SELECT 1").ready().writeTo(out);
+                }
+                case TWO_COLUMNS -> out.write(new byte[] {'T', 0, 0, 0, 6, 0, 2});
+                case INNER_LENGTH -> {
+                    Outbox row = said().row("doc", value);
+                    row.bytes().put(row.size() - value.length - 1, (byte) (value.length - 1));
+                    row.commandComplete("SELECT 1").ready().writeTo(out);
+                }
+                case ERROR_BEHIND_ROW -> said().row("doc", value).error("ERROR", "53300", "full", null).ready()
+                        .writeTo(out);
+                case HALF_AN_ERROR -> out.write(HexFormat.of().parseHex("45000000095335333330" + "30"
+                        + "5a0000000549"));
+                case ODD_TAG -> said().row("doc", value).commandComplete("GARBAGE").ready().writeTo(out);
+                case STALL -> out.write(new byte[] {'T', 0, 0, 0, 28, 0, 1, 'd'});
+                case TWICE -> said().row("doc", value).commandComplete("SELECT 1").ready()
+                        .append(said().row("doc", value).commandComplete("SELECT 1").ready()).writeTo(out);
                 case RESET -> socket.setSoLinger(true, 0);
                 case SILENT -> {
                     if (socket.getInputStream().read() < 0) {
