Clients that ask once and stay are ended once half of the clients' share is held

A count of connections showed 128 of 128 of the clients' share known, 0 to 5 busy, no connection used twice: clients that ask once and stay, ended after 2.5 s, left 51 places a second.

--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -333,28 +333,25 @@
      * at first; the client sees its end. For the reader alone.
      */
     boolean closeIfIdle(long since) {
-        return endedAt == 0 && readable() && usedAt < since && endIfIdle(since);
-    }
-
-    private synchronized boolean endIfIdle(long since) {
-        long begun = in.begunAt();
-        if (busy || !work.isEmpty() || over || endedAt != 0 || begun != 0 && (known || begun >= since)) {
+        if (endedAt != 0 || !readable() || usedAt >= since || !idle(since)) {
             return false;
         }
-        over = true;
-        endedAt = System.nanoTime();
-        try {
-            wire.endWriting();
-        } catch (IOException e) {
-            close();
-        }
+        // Closed, not half-closed: a query that crosses this is answered by a reset, so that it is known not
+        // to have been read. One read after a half-close would be a txn taken and never answered.
+        leave();
         return true;
     }
 
+    private synchronized boolean idle(long since) {
+        long begun = in.begunAt();
+        return !busy && work.isEmpty() && !over && endedAt == 0 && (begun == 0 || !known && begun < since);
+    }
+
     // ---- The task -----------------------------------------------------------------------------------------
 
     private void serve() {
         boolean well = true;
+        long answered = 0;
         while (true) {
             Work next;
             boolean resume;
@@ -377,8 +374,10 @@
                 } else if (next.query() == null) {
                     send(new Outbox().error("ERROR", "22021", "a query that is not UTF-8", null).ready());
                 } else {
-                    answer(next.query(), next.arrived());
+                    // Its time begins once the answer before it has gone: until then nobody waits for it.
+                    answer(next.query(), Math.max(next.arrived(), answered));
                 }
+                answered = desk.now();
                 if (next.last()) {
                     wire.endWriting();
                     endedAt = System.nanoTime();
--- a/src/main/java/beaconladder/serve/Clients.java
+++ b/src/main/java/beaconladder/serve/Clients.java
@@ -23,7 +23,7 @@
     /** Descriptors for the program itself (about 20), the watch, and clients that are only told to go. */
     private static final int RESERVE = 64;
     private static final int BACKLOG = 1024;
-    private static final int SWEEP_MILLIS = 100;
+    private static final int SWEEP_MILLIS = 50;
     /** Who was busy so lately may have a query on its way. */
     private static final long LATELY = 100_000_000;
     /** Clients that come back do so within a second or two; past that a connection is mostly left behind. */
@@ -34,6 +34,8 @@
     private final Threads threads;
     private final Room room;
     private final int most;
+    /** Clients hold at most a third of the descriptors for their txns. */
+    private final int share;
     /** So many connections may be held by those who have asked for nothing yet that is served here. */
     private final int mostStrangers;
     private final Set<Client> all = ConcurrentHashMap.newKeySet();
@@ -49,6 +51,7 @@
         this.threads = threads;
         this.room = room;
         this.most = Math.max(1, descriptors - RESERVE);
+        this.share = descriptors / 3;
         this.mostStrangers = Math.max(8, most / 5);
     }
 
@@ -182,6 +185,11 @@
     }
 
     private void sweep(long now) {
+        // Clients that ask once and stay would leave none of their share for those who come to ask.
+        long crowd = all.stream().filter(client -> client.known() && !client.ending()).count() - share / 2;
+        while (crowd-- > 0 && closeOldest(Client::known)) {
+            continue;
+        }
         boolean many = all.size() > most / 8;
         for (Client client : all) {
             if (client.sweep(now)) {
