--- a/src/test/java/beaconladder/serve/ServeIT.java
+++ b/src/test/java/beaconladder/serve/ServeIT.java
@@ -221,6 +221,47 @@
         assertThat(router.threads()).isLessThan(60);
     }
 
+    /** Clients hold at most a third of the descriptors; those who stay leave half of it to who comes. */
+    @Test
+    void clientsThatAskOnceAndStayMakeRoomAndWhatCrossesTheirEndIsReset() throws Exception {
+        sockets = 120;
+        start();
+        List<Caller> stay = new ArrayList<>();
+        int files = router.files();
+        for (int i = 0; i < 36; i++) {
+            stay.add(caller());
+            assertThat(stay.get(i).ask(read("once" + i, 2000))).isEqualTo("T D:00ff27 C:SELECT 1 Z");
+        }
+        TimeUnit.MILLISECONDS.sleep(600);
+        assertThat(router.files()).isLessThanOrEqualTo(files + 26);
+        Caller first = stay.get(0);
+        say(first.answer());
+        Outbox.query(read("late", 2000)).writeTo(first.out);
+        TimeUnit.MILLISECONDS.sleep(50);
+        try {
+            Outbox.query("").writeTo(first.out);
+        } catch (SocketException e) {
+            say("reset");
+        }
+        assertThat(trace.toString()).isEqualTo("closed\nreset\n");
+        assertThat(b.queries()).noneMatch(q -> q.contains("id=late"));
+    }
+
+    @Test
+    void theTimeOfAQueryWrittenAheadBeginsWithTheAnswerBeforeIt() throws Exception {
+        start();
+        Caller c = caller();
+        ask(c, read("warm", 2000));
+        b.delayMillis = 150;
+        for (int i = 0; i < 6; i++) {
+            Outbox.query(read("ahead" + i, 450)).writeTo(c.out);
+        }
+        for (int i = 0; i < 6; i++) {
+            say(c.answer());
+        }
+        assertThat(trace.toString()).isEqualTo("T D:00ff27 C:SELECT 1 Z\n".repeat(6));
+    }
+
     /** The first part of it was read; a look for idle connections came before the rest. */
     @Test
     void aQueryThatComesInPiecesIsServedAlsoNearTheLimit() throws Exception {
