--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -706,7 +706,7 @@
             host.abandoned.add(s);
         }
         if (outcome != Outcome.CANCELLED && outcome != Outcome.MOOT) {
-            // A host that fails at once looks idle and quick; errors all over are weighed as lost answers are.
+            // A host that fails at once looks idle and quick; errors all over weigh as lost answers do.
             int well = outcome == Outcome.COMMITTED && now - s.sent <= s.txn.type.sla()
                     || outcome == Outcome.MISS ? 1 : 0;
             if (host.marks.sumSince(now - 20_000 * MS) > 0) {
@@ -826,7 +826,7 @@
         }
     }
 
-    /** Rule 3 binds by what is listed, so a host that is gone is kept for the sake of its submissions alone. */
+    /** Rule 3 binds by what is listed, so a gone host is kept for the sake of its submissions alone. */
     @Override
     public boolean forget(Host host, long now) {
         host.abandoned.removeIf(old -> now > old.txn.expiry);
--- a/src/main/java/beaconladder/roster/HttpGet.java
+++ b/src/main/java/beaconladder/roster/HttpGet.java
@@ -79,7 +79,8 @@
             byte[] body = chunked ? chunks() : length >= 0 ? exactly(length) : rest();
             keep &= chunked || length >= 0;
             if (!status.matches("HTTP/1\\.[01] 200( .*)?")) {
-                throw new IOException("answered " + status.substring(Math.min(9, status.length()), Math.min(80, status.length())));
+                throw new IOException("answered " + status.substring(Math.min(9, status.length()),
+                        Math.min(80, status.length())));
             }
             return new String(body, StandardCharsets.UTF_8);
         } catch (IOException | RuntimeException e) {
--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -26,7 +26,7 @@
     private static final int AHEAD = 64;
     /** And no more of them than a query of the longest kind takes. */
     private static final int AHEAD_CHARS = Inbox.BOUND / 2;
-    /** A startup message is due so long after the connection, and the rest of a message after its first byte. */
+    /** A startup message is due so long after the connection, the rest of a message after its first byte. */
     private static final long OPENING = 2_000_000_000L;
     private static final long WHOLE = 2_000_000_000L;
     /** A client that takes in nothing of what is written to it for so long is given up. */
@@ -39,7 +39,7 @@
     /** What a client still sends after its end was told is read so long; networks need far less. */
     static final long LINGER = 500_000_000L;
 
-    /** A piece of work for the task: messages to write, or, without, a query (null where it was no UTF-8). */
+    /** Work for the task: messages to write, or, without, a query (null where it was no UTF-8). */
     private record Work(String query, long arrived, Outbox messages, boolean last) {
         int length() {
             return query == null ? 0 : query.length();
@@ -84,7 +84,7 @@
         return usedAt;
     }
 
-    // ---- The reader: one thread for all clients, which never waits for any of them --------------------------
+    // ---- The reader: one thread for all clients, which never waits for any of them ------------------------
 
     /** Takes in what is there and does what it says; false when the connection is over. */
     boolean readable() {
--- a/src/main/java/beaconladder/serve/WarmUp.java
+++ b/src/main/java/beaconladder/serve/WarmUp.java
@@ -90,7 +90,8 @@
         String load = "x0=" + millis / 1_000 + ",x1=" + (primary ? 1 : 0) + ",inflight=1";
         boolean probe = written.length < 32;
         return bytes(new Outbox().parameterStatus("node_role", primary ? "leader" : "follower")
-                .parameterStatus("replay_position", String.valueOf(millis)).parameterStatus("server_load", load)
+                .parameterStatus("replay_position", String.valueOf(millis))
+                .parameterStatus("server_load", load)
                 .row("doc", probe ? load.getBytes(StandardCharsets.US_ASCII) : new byte[64])
                 .commandComplete(probe ? "SHOW" : "SELECT 1").ready());
     }
--- a/src/test/java/beaconladder/serve/PartsTest.java
+++ b/src/test/java/beaconladder/serve/PartsTest.java
@@ -169,8 +169,9 @@
         }));
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", 1);
         for (int i = 0; i < 3_000; i++) {
-            desk.listed(false, List.of(new Watch.Entry("s" + i, address, "east", i % 2, Watch.State.READY, false,
-                    0), new Watch.Entry("s" + (i - 5), null, "east", i % 2, Watch.State.GONE, false, 0)));
+            desk.listed(false, List.of(
+                    new Watch.Entry("s" + i, address, "east", i % 2, Watch.State.READY, false, 0),
+                    new Watch.Entry("s" + (i - 5), null, "east", i % 2, Watch.State.GONE, false, 0)));
             Statement read = Statement.read("SELECT doc FROM items WHERE id = 'k' /* id=1,c=x,d=9 */");
             Hand hand = desk.take("t" + i, 0, desk.group(i % 2), read, Word.NONE, desk.now(),
                     desk.now() + 1_000_000);
--- a/src/test/java/beaconladder/serve/ServeIT.java
+++ b/src/test/java/beaconladder/serve/ServeIT.java
@@ -656,7 +656,8 @@
             assertThat(System.nanoTime() - from).isLessThan(3_000_000_000L);
             int calls = before.calls.get();
             before.close();
-            for (String bad : List.of("", "{", config(router.port).replace("\"discovery\":\"127", "\"d\":\"1"),
+            for (String bad : List.of("", "{",
+                    config(router.port).replace("\"discovery\":\"127", "\"d\":\"1"),
                     config(router.port).replace("\"role\":\"leader\"}", "\"state\":\"Asleep\"}"))) {
                 router.reload(bad);
                 long told = ++faults;
@@ -1073,8 +1074,8 @@
                     row.bytes().put(row.size() - value.length - 1, (byte) (value.length - 1));
                     row.commandComplete("SELECT 1").ready().writeTo(out);
                 }
-                case ERROR_BEHIND_ROW -> said().row("doc", value).error("ERROR", "53300", "full", null).ready()
-                        .writeTo(out);
+                case ERROR_BEHIND_ROW -> said().row("doc", value).error("ERROR", "53300", "full", null)
+                        .ready().writeTo(out);
                 case HALF_AN_ERROR -> out.write(HexFormat.of().parseHex("45000000095335333330" + "30"
                         + "5a0000000549"));
                 case ODD_TAG -> said().row("doc", value).commandComplete("GARBAGE").ready().writeTo(out);
