Cells: tenants confined to parts of the fleet, moved by a keeper, behind a plan

Need: one runaway tenant could touch every host, and no tenant could be moved.

A plan in S-expressions states cells, tenants, shares, networks and a keeper. Each router lets a txn in by its tenant's cell and share, and Logic decides within the cell as ever; the keeper grants leases on the placement and moves tenants step by step, each step written before it is taken. The stand-ins leave the integration test for a laboratory with hosts that hold data, and a rehearsal judged by what clients and hosts saw. The command line is on picocli; plain `serve` and `drill` go past it.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -313,9 +313,9 @@
     /** The position that a replica must have reached now. Rule 5: a bound is judged at the send. */
     private long target(Txn txn, long now) {
         return switch (txn.type.read()) {
-            case BOUNDED -> now - txn.type.bound();
-            case SESSION -> txn.target;
-            default -> UNBOUND;
+            case BOUNDED -> Math.max(txn.floor, now - txn.type.bound());
+            case SESSION -> Math.max(txn.floor, txn.target);
+            default -> txn.floor;
         };
     }
 
@@ -850,6 +850,20 @@
         return Verdict.done(othersOut(txn));
     }
 
+    /** What may have run is waited for, as rule 2 has it, and never sent again: it would run in two places. */
+    @Override
+    public Verdict displaced(Txn txn, long now) {
+        drop(txn);
+        Submission ran = txn.mayHaveRun();
+        if (txn.out() > 0) {
+            return Verdict.waiting();
+        }
+        served(txn, false);
+        fates.add(0, 0, now);
+        return ran == null || txn.type.effect() == Effect.REPEATABLE ? Verdict.decline(0, List.of())
+                : Verdict.rollBack(List.of());
+    }
+
     // ---- The third question: how long to wait -------------------------------------------------------------
 
     @Override
--- /dev/null
+++ b/src/main/java/beaconladder/app/Hangups.java
@@ -0,0 +1,40 @@
+package beaconladder.app;
+
+import java.lang.reflect.Proxy;
+import java.util.concurrent.Semaphore;
+
+/** Takes SIGHUP and runs a task for it, one at a time. */
+final class Hangups {
+    private final Semaphore permits = new Semaphore(0);
+
+    /** To be made first of all, since the JVM ends on this signal as long as nobody takes it. */
+    Hangups() {
+        // By name, as the compiler warns of this class, and there is no other way to take a signal.
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object release = Proxy.newProxyInstance(Hangups.class.getClassLoader(), new Class<?>[] {handler},
+                    (proxy, method, args) -> {
+                        permits.release();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), release);
+        } catch (ReflectiveOperationException e) {
+            System.err.println("beaconladder: this JVM leaves SIGHUP to itself, which ends it: " + e);
+        }
+    }
+
+    /** Runs this from now on, also for a signal that has come already. */
+    void run(Runnable reload) {
+        Thread reloads = new Thread(() -> {
+            while (true) {
+                permits.acquireUninterruptibly();
+                permits.drainPermits();
+                reload.run();
+            }
+        }, "reloads");
+        reloads.setDaemon(true);
+        reloads.start();
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/app/ServeCommand.java
@@ -0,0 +1,52 @@
+package beaconladder.app;
+
+import beaconladder.serve.Serve;
+import java.io.IOException;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** A router on sockets. */
+@Command(name = "serve", mixinStandardHelpOptions = true,
+        description = "Be a router on sockets, as the file named by BALANCER_CONFIG states.")
+final class ServeCommand implements Callable<Integer> {
+    @Option(names = "--plan", paramLabel = "FILE", description = "The operators' plan: cells and who lives in them.")
+    private Path plan;
+
+    @Override
+    public Integer call() {
+        return serve(plan);
+    }
+
+    /** Serves until a signal ends it. */
+    static int serve(Path plan) {
+        Hangups hangups = new Hangups();
+        String file = System.getenv("BALANCER_CONFIG");
+        try {
+            if (file == null) {
+                throw new IOException("BALANCER_CONFIG names no file");
+            }
+            Serve router = new Serve(Path.of(file), plan);
+            hangups.run(router::reload);
+            router.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                try {
+                    router.drain();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                // The hook runs because of a signal, whose status would else be the program's.
+                Runtime.getRuntime().halt(0);
+            }));
+            Thread.currentThread().join();
+            return 0;
+        } catch (IOException | InvalidPathException e) {
+            System.err.println("beaconladder: " + e.getMessage());
+        } catch (InterruptedException e) {
+            System.err.println("beaconladder: interrupted");
+        }
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/cells/Placement.java
@@ -0,0 +1,21 @@
+package beaconladder.cells;
+
+import java.util.Map;
+
+/**
+ * Who lives where, as a router was told.
+ *
+ * @param version grows with each change
+ * @param until   a router may act on it until then, in nanoseconds on the clock that all machines read
+ * @param basis   of the keeper's plan, see {@link Territory#basis}
+ * @param seats   by tenant
+ */
+public record Placement(long version, long until, String basis, Map<String, Seat> seats) {
+    /** Before a keeper has spoken: nothing may be acted on but what never moves. */
+    public static final Placement NONE = new Placement(0, Long.MIN_VALUE, "", Map.of());
+
+    /** The same for longer. */
+    public Placement extended(long to) {
+        return new Placement(version, Math.max(until, to), basis, seats);
+    }
+}
--- a/src/main/java/beaconladder/fleet/Txn.java
+++ b/src/main/java/beaconladder/fleet/Txn.java
@@ -26,6 +26,8 @@
     public final List<Submission> submissions = new ArrayList<>();
     /** The log position that its session needs; Long.MIN_VALUE for none. */
     public long target = Long.MIN_VALUE;
+    /** The log position below which a member lacks what was copied to it; Long.MIN_VALUE for none. */
+    public long floor = Long.MIN_VALUE;
     /** When an answer stops being in time. */
     public long slaEnd;
     /** What asking a member could bring to it while it is held. */
--- /dev/null
+++ b/src/main/java/beaconladder/keep/Asking.java
@@ -0,0 +1,89 @@
+package beaconladder.keep;
+
+import beaconladder.pg.Inbox;
+import beaconladder.pg.Inbox.Got;
+import beaconladder.pg.Outbox;
+import beaconladder.pg.Room;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.HashMap;
+import java.util.Map;
+
+/** A keeper's connection to one host: one question at a time, each with its time. */
+final class Asking implements AutoCloseable {
+    private static final Room ROOM = new Room(4 << 20);
+
+    /** An answer: the first cell of its first row, or null, and what the host said of itself. */
+    record Answer(String cell, Map<String, String> said) {
+    }
+
+    private final Socket socket = new Socket();
+    private final Inbox in;
+
+    Asking(InetSocketAddress address, int millis) throws IOException {
+        try {
+            socket.setTcpNoDelay(true);
+            socket.connect(address, millis);
+            in = new Inbox(socket, ROOM);
+            Outbox.startup("keeper", "shop").writeTo(socket.getOutputStream());
+            answer(millis);
+        } catch (IOException | RuntimeException e) {
+            socket.close();
+            throw e;
+        }
+    }
+
+    /** Asks; an error of the host is an exception, as is anything that can't be read. */
+    Answer ask(String query, int millis) throws IOException {
+        Outbox.query(query).writeTo(socket.getOutputStream());
+        return answer(millis);
+    }
+
+    private Answer answer(int millis) throws IOException {
+        Map<String, String> said = new HashMap<>();
+        String cell = null;
+        String error = null;
+        long until = System.nanoTime() + millis * 1_000_000L;
+        while (true) {
+            Got got = in.next(until, millis * 1_000_000L);
+            if (got != Got.MESSAGE) {
+                throw new IOException("no whole answer: " + got);
+            }
+            switch (in.type()) {
+                case 'S' -> {
+                    if (!in.texts(2)) {
+                        throw new IOException("a report that can't be read");
+                    }
+                    said.put(in.text(in.at()), in.text(in.after(in.at())));
+                }
+                case 'D' -> {
+                    if (!in.isRowOfOne()) {
+                        throw new IOException("a row that is not of one column");
+                    }
+                    Outbox row = new Outbox();
+                    in.copyTo(row);
+                    cell = row.cell();
+                }
+                case 'E' -> error = in.isError() ? in.errorField('C') + " " + in.errorField('M') : "an error";
+                case 'Z' -> {
+                    if (error != null) {
+                        throw new IOException(error);
+                    }
+                    return new Answer(cell, said);
+                }
+                default -> { }
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // It is gone either way.
+        }
+        in.release();
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/lab/Caller.java
@@ -0,0 +1,82 @@
+package beaconladder.lab;
+
+import beaconladder.pg.Outbox;
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
+
+/** A client on one connection; prints what it gets, a letter a message. */
+public final class Caller implements AutoCloseable {
+    public final OutputStream out;
+    private final Socket socket;
+    private final DataInputStream in;
+    /** The text of the last error. */
+    public String message = "";
+
+    public Caller(Socket socket) throws IOException {
+        this.socket = socket;
+        socket.setSoTimeout(15_000);
+        out = socket.getOutputStream();
+        in = new DataInputStream(socket.getInputStream());
+    }
+
+    public String ask(String query) throws IOException {
+        try {
+            Outbox.query(query).writeTo(out);
+        } catch (SocketException e) {
+            return "closed";
+        }
+        return answer();
+    }
+
+    /** The messages up to the next that says ready, or the end. */
+    public String answer() throws IOException {
+        StringBuilder all = new StringBuilder();
+        try {
+            while (true) {
+                char type = (char) in.readUnsignedByte();
+                if (type == 'N') {
+                    all.append("N ");
+                    continue;
+                }
+                byte[] body = new byte[in.readInt() - 4];
+                in.readFully(body);
+                String text = new String(body, StandardCharsets.UTF_8);
+                if (type == 'E') {
+                    message = text.replaceAll("(?s).*\0M([^\0]*)\0.*", "$1");
+                }
+                all.append(type).append(switch (type) {
+                    case 'D' -> ":" + HexFormat.of().formatHex(body, 6, Math.min(body.length, 16));
+                    case 'C' -> ":" + text.substring(0, text.length() - 1);
+                    case 'E' -> ":" + text.replaceAll("(?s).*\0C([^\0]*)\0.*", "$1");
+                    default -> "";
+                });
+                if (type == 'Z') {
+                    return all.toString();
+                }
+                all.append(' ');
+            }
+        } catch (EOFException | SocketException e) {
+            return all + "closed";
+        }
+    }
+
+    public int waiting() throws IOException {
+        return in.available();
+    }
+
+    public String rest() throws IOException {
+        String all = answer();
+        return all.endsWith("closed") ? all : all + " " + rest();
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/lab/Load.java
@@ -0,0 +1,280 @@
+package beaconladder.lab;
+
+import beaconladder.lab.Judge.Asked;
+import beaconladder.lab.Judge.End;
+import beaconladder.pg.Outbox;
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Usual clients: sessions that write and read what they wrote, at any router; each keeps its own truth. */
+final class Load implements AutoCloseable {
+    static final int BUDGET_MILLIS = 1_000;
+    static final int BOUND_MILLIS = 500;
+    /** A client counts on an answer so long after its time at the latest; then none comes. */
+    private static final int PATIENCE_MILLIS = 700;
+
+    /** Where clients find a router, and whether it is well. */
+    interface Doors {
+        int count();
+
+        int port(int router);
+
+        /** When the router was last started, stopped or cut off from its life, in Unix milliseconds. */
+        long troubledAt(int router);
+    }
+
+    /** A session: a tenant's key, with the versions its client knows of. */
+    private static final class Session {
+        private final String tenant;
+        private final String key;
+        private final int cell;
+        private final int group;
+        private long tried;
+        private long committed;
+        private long after;
+        /** Commits by time, for bounded reads. */
+        private final ArrayDeque<long[]> commits = new ArrayDeque<>();
+
+        Session(String tenant, String key, int cell, int group) {
+            this.tenant = tenant;
+            this.key = key;
+            this.cell = cell;
+            this.group = group;
+        }
+
+        /** The newest version that was committed by then. */
+        long committedBy(long millis) {
+            long version = 0;
+            for (long[] commit : commits) {
+                version = commit[0] <= millis ? Math.max(version, commit[1]) : version;
+            }
+            return version;
+        }
+    }
+
+    /** One connection to one router. */
+    static final class Line implements AutoCloseable {
+        private final Socket socket;
+        private final DataInputStream in;
+        final int router;
+        private String code;
+        private byte[] cell;
+        String message = "";
+
+        Line(int port, int router) throws IOException {
+            this.router = router;
+            socket = new Socket(InetAddress.getLoopbackAddress(), port);
+            socket.setTcpNoDelay(true);
+            in = new DataInputStream(socket.getInputStream());
+            socket.setSoTimeout(3_000);
+            Outbox.startup("app", "shop").writeTo(socket.getOutputStream());
+            answer();
+        }
+
+        void send(String query) throws IOException {
+            Outbox.query(query).writeTo(socket.getOutputStream());
+        }
+
+        /** Reads up to the next ready; false at the end of the connection. */
+        boolean answer() throws IOException {
+            code = null;
+            cell = null;
+            try {
+                while (true) {
+                    char type = (char) in.readUnsignedByte();
+                    byte[] body = new byte[in.readInt() - 4];
+                    in.readFully(body);
+                    switch (type) {
+                        case 'D' -> cell = java.util.Arrays.copyOfRange(body, 6, body.length);
+                        case 'E' -> {
+                            String text = new String(body, StandardCharsets.UTF_8);
+                            code = text.replaceAll("(?s).*\0C([^\0]*)\0.*", "$1");
+                            message = text.replaceAll("(?s).*\0M([^\0]*)\0.*", "$1");
+                        }
+                        case 'Z' -> {
+                            return true;
+                        }
+                        default -> { }
+                    }
+                }
+            } catch (EOFException e) {
+                return false;
+            }
+        }
+
+        void timeout(int millis) throws IOException {
+            socket.setSoTimeout(Math.max(1, millis));
+        }
+
+        boolean more() throws IOException {
+            return in.available() > 0;
+        }
+
+        String code() {
+            return code;
+        }
+
+        @Override
+        public void close() {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                // It is gone either way.
+            }
+        }
+    }
+
+    private final Judge judge;
+    private final Doors doors;
+    private final AtomicLong ids = new AtomicLong();
+    private final List<Thread> threads = new ArrayList<>();
+    private volatile boolean stopped;
+
+    /**
+     * Clients that start at once.
+     *
+     * @param tenants   names; tenant i lives in cell homes[i] and names group groups[i]
+     * @param clients   threads, each with sessions of its own
+     * @param restMillis between two txns of a client, on average
+     */
+    Load(Judge judge, Doors doors, List<String> tenants, int[] homes, int[] groups, int clients, int restMillis,
+            long seed) {
+        this.judge = judge;
+        this.doors = doors;
+        SplittableRandom chance = new SplittableRandom(seed);
+        for (int i = 0; i < clients; i++) {
+            List<Session> own = new ArrayList<>();
+            for (int t = i; t < tenants.size(); t += clients) {
+                own.add(new Session(tenants.get(t), "k" + i, homes[t], groups[t]));
+            }
+            if (own.isEmpty()) {
+                int t = i % tenants.size();
+                own.add(new Session(tenants.get(t), "k" + i, homes[t], groups[t]));
+            }
+            SplittableRandom mine = chance.split();
+            threads.add(Tasks.spawn(() -> live(own, mine, restMillis)));
+        }
+    }
+
+    private void live(List<Session> sessions, SplittableRandom chance, int restMillis) {
+        Line line = null;
+        while (!stopped) {
+            Tasks.sleep(chance.nextInt(2 * restMillis + 1));
+            Session session = sessions.get(chance.nextInt(sessions.size()));
+            int dice = chance.nextInt(100);
+            // A session's read comes soon after its write, and often at another router.
+            List<String> steps = dice < 45 ? List.of("write", "own") : dice < 55 ? List.of("token", "own")
+                    : dice < 75 ? List.of("fresh") : dice < 90 ? List.of("any") : List.of("own");
+            for (String type : steps) {
+                int router = chance.nextInt(doors.count());
+                if (line == null || chance.nextInt(3) == 0) {
+                    close(line);
+                    line = open(router, chance);
+                }
+                if (line == null || !ask(line, session, type)) {
+                    close(line);
+                    line = null;
+                }
+            }
+        }
+        close(line);
+    }
+
+    private Line open(int first, SplittableRandom chance) {
+        for (int i = 0; i < 2 * doors.count() && !stopped; i++) {
+            int router = (first + i) % doors.count();
+            try {
+                return new Line(doors.port(router), router);
+            } catch (IOException e) {
+                Tasks.sleep(chance.nextInt(20));
+            }
+        }
+        return null;
+    }
+
+    private static void close(Line line) {
+        if (line != null) {
+            line.close();
+        }
+    }
+
+    static String query(String id, String type, String tenant, String key, int group, long version, long after,
+            int budget) {
+        String comment = " /* id=" + id + ",c=" + type + ",t=" + tenant + ",d=" + budget + ",cluster=" + group
+                + (after > 0 ? ",after=" + after : "") + " */";
+        return type.equals("write") || type.equals("token")
+                ? "INSERT INTO items (id, doc) VALUES ('" + key + "', '\\x" + String.format("%016x", version)
+                        + "') RETURNING doc" + comment
+                : "SELECT doc FROM items WHERE id = '" + key + "'" + comment;
+    }
+
+    /** Asks one txn and notes what came of it; false when the connection is of no further use. */
+    private boolean ask(Line line, Session session, String type) {
+        String id = "x" + Long.toHexString(ids.incrementAndGet());
+        boolean write = type.equals("write") || type.equals("token");
+        long version = write ? ++session.tried : 0;
+        long sent = System.currentTimeMillis();
+        long least = type.equals("own") ? session.committed
+                : type.equals("fresh") ? session.committedBy(sent - BOUND_MILLIS) : 0;
+        End end;
+        boolean good = false;
+        boolean extra = false;
+        try {
+            line.timeout(BUDGET_MILLIS + PATIENCE_MILLIS);
+            line.send(query(id, type, session.tenant, session.key, session.group, version,
+                    type.equals("own") ? session.after : 0, BUDGET_MILLIS));
+            good = line.answer();
+            end = !good && line.code() == null ? End.CUT : end(line.code());
+            extra = good && line.more();
+        } catch (SocketTimeoutException e) {
+            end = End.NONE;
+        } catch (IOException e) {
+            end = End.CUT;
+        }
+        long answered = System.currentTimeMillis();
+        if (end == End.COMMITTED) {
+            version = line.cell != null && line.cell.length >= 8 ? ByteBuffer.wrap(line.cell).getLong() : -1;
+            if (write) {
+                session.committed = Math.max(session.committed, version);
+                // The commit lies before its answer: a mark of this moment covers it.
+                session.after = answered;
+                session.commits.add(new long[] {answered, version});
+                while (session.commits.size() > 64) {
+                    session.commits.poll();
+                }
+            }
+        }
+        boolean excused = doors.troubledAt(line.router) >= sent - 100;
+        judge.asked.add(new Asked(id, session.tenant, session.key, type, session.cell, line.router, sent, answered,
+                BUDGET_MILLIS, end, end == End.COMMITTED ? version : write ? session.tried : -1, least, session.tried,
+                excused, extra, line.message));
+        return good && end != End.NONE;
+    }
+
+    private static End end(String code) {
+        return code == null ? End.COMMITTED : switch (code) {
+            case "53300", "57P03" -> End.DECLINED;
+            case "40003" -> End.ROLLED_BACK;
+            default -> End.ERROR;
+        };
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        stopped = true;
+        for (Thread thread : threads) {
+            thread.join(5_000);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/lab/Tasks.java
@@ -0,0 +1,36 @@
+package beaconladder.lab;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+
+/** Threads of stand-ins: they end with the program, and with the connections they serve. */
+final class Tasks {
+    /** Something that ends when its connection does. */
+    interface Task {
+        void run() throws IOException;
+    }
+
+    private Tasks() {
+    }
+
+    static Thread spawn(Task task) {
+        Thread thread = new Thread(null, () -> {
+            try {
+                task.run();
+            } catch (IOException e) {
+                // The other side, or the rehearsal, has ended it.
+            }
+        }, "lab", 256 * 1024);
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
+    }
+
+    static void sleep(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/src/main/java/beaconladder/pg/Inbox.java
+++ b/src/main/java/beaconladder/pg/Inbox.java
@@ -26,7 +26,7 @@
 
     private final Socket socket;
     private final InputStream in;
-    private final Room room;
+    private Room room;
     /** How many bytes the message that is coming in needs, as far as that is known. */
     private int needed;
     /** When the message that is coming in began, or 0. */
@@ -190,6 +190,13 @@
         end = 0;
     }
 
+    /** Large messages count here from now on; for one that is on its way, from the next one on. */
+    public void charge(Room to) {
+        if (buffer.length == USUAL) {
+            room = to;
+        }
+    }
+
     /** Whether bytes beyond the current message have come in. */
     public boolean more() {
         return to > end;
--- a/src/main/java/beaconladder/pg/Room.java
+++ b/src/main/java/beaconladder/pg/Room.java
@@ -5,14 +5,21 @@
 /** The memory that all connections together may take for messages larger than usual. */
 public final class Room {
     private final AtomicLong left;
+    private final Room whole;
 
     public Room(long bytes) {
-        left = new AtomicLong(bytes);
+        this(bytes, null);
+    }
+
+    /** A part of a whole: what is taken here is taken there, too. */
+    public Room(long bytes, Room whole) {
+        this.left = new AtomicLong(bytes);
+        this.whole = whole;
     }
 
     /** Takes so many bytes; false when they are not to be had. */
     boolean take(int bytes) {
-        if (left.addAndGet(-bytes) >= 0) {
+        if (left.addAndGet(-bytes) >= 0 && (whole == null || whole.take(bytes))) {
             return true;
         }
         left.addAndGet(bytes);
@@ -21,6 +28,9 @@
 
     void give(int bytes) {
         left.addAndGet(bytes);
+        if (whole != null) {
+            whole.give(bytes);
+        }
     }
 
     /** How much is free. */
--- a/src/main/java/beaconladder/roster/HttpGet.java
+++ b/src/main/java/beaconladder/roster/HttpGet.java
@@ -10,7 +10,7 @@
 import java.util.Locale;
 
 /** GET over HTTP/1.1 to one address, on one connection that is kept for as long as it can be. */
-final class HttpGet {
+public final class HttpGet {
     /** A list of some thousand hosts; a body is refused beyond it. */
     private static final int LONGEST_BODY = 4 << 20;
     private static final int LONGEST_LINE = 8192;
@@ -19,27 +19,34 @@
     private static final int CONNECT_MILLIS = 1_000;
 
     private final InetSocketAddress address;
+    private final boolean mistakes;
     private volatile Socket socket;
     private volatile boolean ended;
     private InputStream in;
     private int lines;
 
-    HttpGet(InetSocketAddress address) {
+    public HttpGet(InetSocketAddress address) {
+        this(address, false);
+    }
+
+    /** One that takes the body of a 400 answer as well, for those who tell mistakes in it. */
+    public HttpGet(InetSocketAddress address, boolean mistakes) {
         this.address = address;
+        this.mistakes = mistakes;
     }
 
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return address;
     }
 
     /** Ends this for good, also a call in hand at another thread. */
-    void end() {
+    public void end() {
         ended = true;
         close();
     }
 
     /** The body of a 200 answer; anything else is an exception, after which the connection is a new one. */
-    String get(String path, int millis) throws IOException {
+    public String get(String path, int millis) throws IOException {
         boolean keep = false;
         try {
             Socket now = socket;
@@ -78,7 +85,8 @@
             }
             byte[] body = chunked ? chunks() : length >= 0 ? exactly(length) : rest();
             keep &= chunked || length >= 0;
-            if (!status.matches("HTTP/1\\.[01] 200( .*)?")) {
+            if (!status.matches("HTTP/1\\.[01] 200( .*)?")
+                    && !(mistakes && status.startsWith("HTTP/1.1 400"))) {
                 throw new IOException("answered " + status.substring(Math.min(9, status.length()),
                         Math.min(80, status.length())));
             }
--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -1,6 +1,8 @@
 package beaconladder.serve;
 
 import beaconladder.api.Router.Word;
+import beaconladder.cells.Gate;
+import beaconladder.cells.Pass;
 import beaconladder.fleet.Group;
 import beaconladder.pg.Inbox;
 import beaconladder.pg.Inbox.Got;
@@ -61,6 +63,10 @@
     private boolean busy;
     private boolean over;
     private Hand hand;
+    /** The leave by which its connection counts among those of a tenant, or null. */
+    private Pass counted;
+    /** Whether its large messages count as those of its tenant's cell yet; for the reader. */
+    private boolean charged;
     /** When it last did something, on System.nanoTime's clock. */
     private volatile long usedAt = System.nanoTime();
     /** Whether it has asked for something that is served here. */
@@ -89,6 +95,11 @@
     /** Takes in what is there and does what it says; false when the connection is over. */
     boolean readable() {
         try {
+            Pass tenant = charged ? null : counted();
+            if (tenant != null) {
+                in.charge(clients.room(tenant.cell()));
+                charged = true;
+            }
             int n = in.feed(wire);
             if (endedAt != 0) {
                 in.drop();
@@ -274,10 +285,16 @@
 
     void leave() {
         Hand current;
+        Pass connection;
         synchronized (this) {
             over = true;
             work.clear();
             current = hand;
+            connection = counted;
+            counted = null;
+        }
+        if (connection != null) {
+            desk.disconnected(connection);
         }
         if (current != null) {
             desk.left(current);
@@ -300,6 +317,12 @@
         return known;
     }
 
+    /** Whether its tenant's cell holds more connections than its own. */
+    boolean borrows() {
+        Pass of = counted();
+        return of != null && desk.borrows(of);
+    }
+
     /** Whether its client has been told to go. */
     boolean ending() {
         return endedAt != 0;
@@ -324,6 +347,10 @@
         return wire.isOpen();
     }
 
+    private synchronized Pass counted() {
+        return counted;
+    }
+
     private synchronized boolean busy() {
         return busy;
     }
@@ -430,12 +457,14 @@
         String id = statement.value("id");
         Integer type = desk.typePlace(String.valueOf(statement.value("c")));
         long cluster = number(statement.value("cluster"));
+        boolean confined = desk.confined();
         Group group = cluster < 0 || cluster > Integer.MAX_VALUE ? null : desk.group((int) cluster);
+        boolean noGroup = confined ? cluster < 0 || cluster > Integer.MAX_VALUE : group == null;
         long budget = number(statement.value("d"));
         String after = statement.value("after");
         long written = after == null ? Word.NONE : Ending.nanos(after, 6);
         String wrong = id == null || id.isEmpty() || id.length() > LONGEST_ID ? "id"
-                : type == null ? "c" : group == null ? "cluster"
+                : type == null ? "c" : noGroup ? "cluster"
                 : budget <= 0 || budget > LONGEST_MILLIS ? "d"
                 : after != null && written == Word.NONE ? "after" : null;
         if (wrong != null) {
@@ -445,8 +474,24 @@
             return;
         }
         known = true;
-        Hand taken = desk.take(id, type, group, statement, written, arrived, arrived + budget * 1_000_000);
+        long expiry = arrived + Math.min(budget * 1_000_000, desk.longest());
+        Pass pass = null;
+        if (confined) {
+            pass = enter(statement, (int) cluster, type, query.length(), arrived, expiry);
+            group = pass == null ? null : desk.group(pass.group());
+            if (pass == null) {
+                return;
+            } else if (group == null) {
+                desk.leave(pass);
+                send(declined("no host of the cell is known", 0));
+                return;
+            }
+        }
+        Hand taken = desk.take(id, type, group, statement, written, arrived, expiry, pass);
         if (taken == null) {
+            if (pass != null) {
+                desk.leave(pass);
+            }
             send(new Outbox().error("ERROR", "22023", "the id of a txn that is in hand", null).ready());
             return;
         }
@@ -466,6 +511,57 @@
         }
     }
 
+    /** Asks for leave where there are cells; without it, null, and the client has been told. */
+    private Pass enter(Statement statement, int cluster, int type, int size, long arrived, long expiry)
+            throws IOException, InterruptedException {
+        String tenant = statement.value("t");
+        Gate.Answer leave = desk.enter(tenant == null ? "" : tenant, statement.session(), cluster,
+                desk.writes(type) || statement.writes(), type, size, wire.from(), arrived, expiry, this::over);
+        if (leave == null) {
+            return null;
+        }
+        switch (leave.kind()) {
+            case DECLINE -> send(declined(leave.reason(), leave.comeBack()));
+            case REFUSE -> send(new Outbox().error("ERROR", "22023", leave.reason(), null).ready());
+            default -> {
+                if (joined(leave.pass())) {
+                    return leave.pass();
+                }
+                desk.leave(leave.pass());
+                send(new Outbox().error("FATAL", "53300", "too many connections of this tenant; it has not run",
+                        null));
+                wire.endWriting();
+                endedAt = System.nanoTime();
+            }
+        }
+        return null;
+    }
+
+    /** The first txn shows whose connection this is; false when its tenant may not have one more. */
+    private boolean joined(Pass pass) {
+        synchronized (this) {
+            if (counted != null || over) {
+                return true;
+            }
+        }
+        if (!desk.connected(pass)) {
+            return false;
+        }
+        synchronized (this) {
+            if (!over) {
+                counted = pass;
+                return true;
+            }
+        }
+        desk.disconnected(pass);
+        return true;
+    }
+
+    private static Outbox declined(String reason, long comeBack) {
+        return new Outbox().error("ERROR", "53300", "declined, as " + reason + "; it has not run",
+                comeBack > 0 ? String.valueOf(comeBack / 1_000_000) : null).ready();
+    }
+
     /** Does what the desk tells until the txn has its end; returns the final answer. */
     private Outbox finish(Hand taken) throws InterruptedException {
         while (true) {
--- a/src/main/java/beaconladder/serve/Clients.java
+++ b/src/main/java/beaconladder/serve/Clients.java
@@ -9,6 +9,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -33,6 +34,8 @@
     private final Lines lines;
     private final Threads threads;
     private final Room room;
+    /** Of it, what the clients of each cell may take for large messages; empty where there are no cells. */
+    private final List<Room> rooms;
     private final int most;
     /** Clients hold at most a third of the descriptors for their txns. */
     private final int share;
@@ -45,11 +48,12 @@
     private volatile boolean draining;
     private volatile boolean closed;
 
-    Clients(Desk desk, Lines lines, Threads threads, Room room, int descriptors) {
+    Clients(Desk desk, Lines lines, Threads threads, Room room, List<Room> rooms, int descriptors) {
         this.desk = desk;
         this.lines = lines;
         this.threads = threads;
         this.room = room;
+        this.rooms = rooms;
         this.most = Math.max(1, descriptors - RESERVE);
         this.share = descriptors / 3;
         this.mostStrangers = Math.max(8, most / 5);
@@ -159,10 +163,14 @@
 
     private boolean closeOldest(Predicate<Client> of) {
         long lately = System.nanoTime() - LATELY;
-        return all.stream().filter(of)
-                .filter(client -> client.usedAt() < lately && !client.ending())
-                .sorted(Comparator.comparingLong(Client::usedAt))
-                .filter(client -> client.closeIfIdle(lately)).findFirst().isPresent();
+        // Their tasks go on meanwhile: what is sorted by must not change under the sort.
+        record Aged(Client client, long usedAt) {
+        }
+
+        return all.stream().filter(of).filter(client -> !client.ending())
+                .map(client -> new Aged(client, client.usedAt())).filter(aged -> aged.usedAt() < lately)
+                .sorted(Comparator.comparingLong(Aged::usedAt))
+                .anyMatch(aged -> aged.client().closeIfIdle(lately));
     }
 
     private static void pause() {
@@ -187,7 +195,7 @@
     private void sweep(long now) {
         // Clients that ask once and stay would leave none of their share for those who come to ask.
         long crowd = all.stream().filter(client -> client.known() && !client.ending()).count() - share / 2;
-        while (crowd-- > 0 && closeOldest(Client::known)) {
+        while (crowd-- > 0 && (!rooms.isEmpty() && closeOldest(Client::borrows) || closeOldest(Client::known))) {
             continue;
         }
         boolean many = all.size() > most / 8;
@@ -205,6 +213,11 @@
         return room;
     }
 
+    /** The room of this cell's clients. */
+    Room room(int cell) {
+        return rooms.get(cell);
+    }
+
     int count() {
         return all.size();
     }
--- a/src/main/java/beaconladder/serve/Desk.java
+++ b/src/main/java/beaconladder/serve/Desk.java
@@ -5,6 +5,11 @@
 import beaconladder.api.Router;
 import beaconladder.api.Router.Outcome;
 import beaconladder.api.Router.Word;
+import beaconladder.cells.Confined;
+import beaconladder.cells.Gate;
+import beaconladder.cells.Pass;
+import beaconladder.cells.Placement;
+import beaconladder.cells.Territory;
 import beaconladder.fleet.Group;
 import beaconladder.fleet.Host;
 import beaconladder.fleet.Submission;
@@ -13,6 +18,7 @@
 import beaconladder.pg.Outbox;
 import beaconladder.pg.Statement;
 import beaconladder.roster.Watch;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -26,6 +32,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.slf4j.Logger;
@@ -39,6 +46,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Desk.class);
     /** The timer rests at least so long between two looks, so that it can't spin. */
     private static final long SHORTEST_REST_MILLIS = 1;
+    /** A txn that is held looks so often whether its client is still there. */
+    private static final long LOOK_NANOS = 50_000_000;
 
     /** Does on sockets what the rounds ask for beside the txns. */
     interface Errands {
@@ -54,8 +63,11 @@
 
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition sooner = lock.newCondition();
+    private final Condition placed = lock.newCondition();
     private final Router router;
     private final Rounds rounds;
+    /** Which cell a txn belongs to and whether it may go there; null where there are no cells. */
+    private final Gate gate;
     private final Map<Txn, Hand> hands = new HashMap<>();
     /** Of the txns in hand. */
     private final Set<String> ids = new HashSet<>();
@@ -75,8 +87,9 @@
     private int numbered;
     private volatile boolean stopped;
 
-    Desk(long seed, Map<String, String> start) {
-        router = new Logic(seed, start);
+    Desk(long seed, Map<String, String> start, Gate gate) {
+        this.gate = gate;
+        router = gate == null ? new Logic(seed, start) : new Confined(new Logic(seed, start), gate);
         rounds = new Rounds(router, this);
         zones = Arrays.asList(start.getOrDefault("zones", "").split(","));
         places(start, "request_classes", typePlaces);
@@ -113,6 +126,10 @@
         return router.type(type).read() == TxnType.Read.WRITE;
     }
 
+    double value(int type) {
+        return router.type(type).value();
+    }
+
     Group group(int number) {
         return groups.get(number);
     }
@@ -140,12 +157,131 @@
         return !addresses.isEmpty();
     }
 
+    // ---- Cells; all of these are for a router that has them -----------------------------------------------
+
+    /** Whether there are cells. */
+    boolean confined() {
+        return gate != null;
+    }
+
+    /** The longest that a txn may be in hand, in nanoseconds. */
+    long longest() {
+        return gate == null ? Long.MAX_VALUE : gate.longest();
+    }
+
+    /** Asks for leave for a txn; waits while it is held, as long as its client stays. */
+    Gate.Answer enter(String tenant, long key, int named, boolean write, int type, long size, InetAddress from,
+            long arrived, long expiry, BooleanSupplier gone) throws InterruptedException {
+        lock.lock();
+        try {
+            Gate.Answer answer = gate.admit(tenant, key, named, write, value(type), size, from, arrived, expiry,
+                    now());
+            while (answer.kind() == Gate.Kind.HOLD) {
+                if (gone.getAsBoolean()) {
+                    gate.left(answer.pass());
+                    return null;
+                }
+                placed.awaitNanos(Math.min(LOOK_NANOS, Math.max(1, answer.until() - now())));
+                answer = gate.again(answer.pass(), now());
+            }
+            return answer;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** A txn that had leave is not taken in hand after all. */
+    void leave(Pass pass) {
+        lock.lock();
+        try {
+            gate.left(pass);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Whether there is room for one more connection of this tenant. */
+    boolean connected(Pass pass) {
+        lock.lock();
+        try {
+            return gate.connected(pass, now());
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    void disconnected(Pass pass) {
+        lock.lock();
+        try {
+            gate.disconnected(pass);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Whether the cell of this leave holds more connections than its own. */
+    boolean borrows(Pass pass) {
+        lock.lock();
+        try {
+            return gate.borrowsConnections(pass.cell());
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    Placement placement() {
+        lock.lock();
+        try {
+            return gate.placement();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    List<Gate.Busy> busy() {
+        lock.lock();
+        try {
+            return gate.busy(now());
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** The keeper's word. */
+    void placed(Placement placement) {
+        tell(now -> {
+            for (int number : gate.placed(placement)) {
+                Group group = groups.get(number);
+                if (group != null) {
+                    group.changed = true;
+                }
+            }
+            placed.signalAll();
+        });
+    }
+
+    /** Another plan; what speaks against it, or null when it counts. */
+    String plan(Territory next) {
+        lock.lock();
+        try {
+            String objection = gate.objection(next);
+            if (objection == null) {
+                gate.plan(next);
+            }
+            return objection;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Takes a txn in: its task is told through the hand what to do, and releases its id at the end. Null
      * where another txn of this id is in hand.
+     *
+     * @param pass its leave, or null where there are no cells
      */
     Hand take(String id, int type, Group group, Statement statement, long written, long arrived,
-            long expiry) {
+            long expiry, Pass pass) {
         lock.lock();
         Hand hand;
         try {
@@ -156,6 +292,9 @@
                     tenantPlaces.getOrDefault(statement.value("t"), -1), "1".equals(statement.value("r")),
                     arrived, expiry, taken++), statement);
             hands.put(hand.txn, hand);
+            if (pass != null) {
+                gate.bind(hand.txn, pass);
+            }
         } finally {
             lock.unlock();
         }
@@ -354,6 +493,9 @@
     @Override
     public void ended(Txn txn) {
         hands.remove(txn);
+        if (gate != null) {
+            gate.ended(txn);
+        }
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/beaconladder/serve/Placements.java
@@ -0,0 +1,128 @@
+package beaconladder.serve;
+
+import beaconladder.cells.Gate.Busy;
+import beaconladder.cells.Placement;
+import beaconladder.cells.Seat;
+import beaconladder.roster.HttpGet;
+import beaconladder.roster.Json;
+import java.io.IOException;
+import java.math.BigDecimal;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Keeps the desk's placement up to date by the keeper's word, and tells the keeper what is acted on here. */
+final class Placements implements Runnable {
+    private static final Logger LOG = LoggerFactory.getLogger(Placements.class);
+    private static final long MS = 1_000_000;
+    /** So often a lease is renewed before its end, so that one lost call does no harm. */
+    private static final int RENEWALS = 3;
+    /** While a tenant is moved, the keeper waits for word of its writes. */
+    private static final int MOVING_MILLIS = 10;
+    private static final int LATE_MILLIS = 500;
+    private static final int RETRY_MILLIS = 50;
+
+    private final HttpGet http;
+    private final Desk desk;
+    private final String router;
+    private final String run;
+    private final long waitMillis;
+    private Map<String, Seat> seats = Map.of();
+    private volatile boolean stopped;
+
+    /**
+     * A watch on the keeper.
+     *
+     * @param run differs between two runs of this router
+     */
+    Placements(InetSocketAddress keeper, long lease, String router, String run, Desk desk) {
+        this.http = new HttpGet(keeper);
+        this.desk = desk;
+        this.router = router;
+        this.run = run;
+        this.waitMillis = lease / RENEWALS / MS;
+    }
+
+    @Override
+    public void run() {
+        String trouble = null;
+        while (!stopped) {
+            try {
+                ask();
+                if (trouble != null) {
+                    LOG.info("the keeper answers again");
+                    trouble = null;
+                }
+            } catch (IOException | Json.Fault e) {
+                if (!String.valueOf(e.getMessage()).equals(trouble)) {
+                    trouble = String.valueOf(e.getMessage());
+                    LOG.warn("keeper: {}; the placement counts until its lease is over", trouble);
+                }
+                rest();
+            } catch (RuntimeException | Error e) {
+                LOG.error("keeper: the placement counts until its lease is over", e);
+                rest();
+            }
+        }
+        http.end();
+    }
+
+    private void ask() throws IOException, Json.Fault {
+        List<Busy> busy = desk.busy();
+        long version = desk.placement().version();
+        long wait = busy.isEmpty() ? waitMillis : MOVING_MILLIS;
+        String told = busy.stream().map(b -> b.tenant() + ":" + b.writes() + b.commits().stream()
+                .map(commit -> ":" + Math.floorDiv(commit + MS - 1, MS)).collect(Collectors.joining()))
+                .collect(Collectors.joining(","));
+        String body = http.get("/v1/placement?router=" + router + "&run=" + run + "&version=" + version + "&wait="
+                + wait + "&busy=" + told, (int) wait + LATE_MILLIS);
+        desk.placed(read(body));
+    }
+
+    private Placement read(String body) throws IOException, Json.Fault {
+        if (!(Json.read(body) instanceof Map<?, ?> told) || !(told.get("version") instanceof BigDecimal version)
+                || !(told.get("until_ms") instanceof BigDecimal until) || !(told.get("basis") instanceof String basis)) {
+            throw new IOException("no placement");
+        }
+        Map<String, Seat> next = seats;
+        if (told.get("seats") instanceof List<?> list) {
+            next = new HashMap<>();
+            for (Object each : list) {
+                if (!(each instanceof Map<?, ?> seat) || !(seat.get("tenant") instanceof String tenant)
+                        || !(seat.get("cell") instanceof String cell)
+                        || !(seat.get("floors_ms") instanceof List<?> floors)) {
+                    throw new IOException("a seat that can't be read");
+                }
+                List<Long> positions = new ArrayList<>();
+                for (Object floor : floors) {
+                    positions.add(floor instanceof BigDecimal millis ? millis.longValue() * MS : Long.MAX_VALUE);
+                }
+                next.put(tenant, new Seat(cell, Boolean.TRUE.equals(seat.get("writes")),
+                        Boolean.TRUE.equals(seat.get("reads")), Boolean.TRUE.equals(seat.get("moving")),
+                        List.copyOf(positions)));
+            }
+            next = Map.copyOf(next);
+        } else if (version.longValue() != desk.placement().version()) {
+            throw new IOException("a new version without its seats");
+        }
+        seats = next;
+        return new Placement(version.longValue(), until.longValue() * MS, basis, next);
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    private void rest() {
+        try {
+            Thread.sleep(RETRY_MILLIS);
+        } catch (InterruptedException e) {
+            stopped = true;
+        }
+    }
+}
--- a/src/main/java/beaconladder/serve/Serve.java
+++ b/src/main/java/beaconladder/serve/Serve.java
@@ -1,11 +1,17 @@
 package beaconladder.serve;
 
+import beaconladder.cells.Gate;
+import beaconladder.cells.Territory;
 import beaconladder.pg.Room;
+import beaconladder.plan.Fault;
+import beaconladder.plan.Plan;
+import beaconladder.plan.PlanReader;
 import beaconladder.roster.Watch;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -30,6 +36,10 @@
     private final Lines lines;
     private final Clients clients;
     private final Watch watch;
+    /** The operators' plan, or null: there are no cells. */
+    private final Path plan;
+    /** The keeper's word, or null: there is no keeper. */
+    private final Placements placements;
     /** The longest that a txn can be in hand, and its connection after it. */
     private final long longestNanos;
     private volatile boolean stopped;
@@ -38,16 +48,23 @@
      * Makes a router that does not yet listen.
      *
      * @param file name, listen, discovery, seed, limits, known and settings as JSON
+     * @param plan cells and who lives in them, or null for none
      */
-    public Serve(Path file) throws IOException {
+    public Serve(Path file, Path plan) throws IOException {
         this.file = file;
+        this.plan = plan;
         stated = Stated.read(file);
         threads = new Threads(stated.memoryMb());
-        desk = new Desk(stated.seed(), stated.start());
-        Room room = new Room(Runtime.getRuntime().maxMemory() / LARGE_SHARE);
+        long bytes = Runtime.getRuntime().maxMemory() / LARGE_SHARE;
+        Room room = new Room(bytes);
+        Territory territory = plan == null ? null : territory(plan);
+        desk = new Desk(stated.seed(), stated.start(), territory == null ? null : new Gate(stated.name(),
+                territory, Gate.Room.of(threads.most(), stated.descriptors() / 3, bytes)));
         lines = new Lines(desk, stated.start(), threads, room, Line::new);
         desk.errands(lines);
-        clients = new Clients(desk, lines, threads, room, stated.descriptors());
+        clients = new Clients(desk, lines, threads, room, territory == null ? List.of()
+                : territory.plan().cells().stream().map(cell -> new Room((long) (cell.share() * bytes), room))
+                .toList(), stated.descriptors());
         watch = new Watch(stated.discovery(), desk);
         if (!stated.known().isEmpty()) {
             desk.listed(true, stated.known());
@@ -58,6 +75,21 @@
                     Long.parseLong(stated.start().get("request_classes." + i + ".give_up_us")));
         }
         longestNanos = expiry * 1_000 + Client.LINGER;
+        Plan.Keeper keeper = territory == null ? null : territory.plan().keeper();
+        if (keeper != null && keeper.expiry() < expiry * 1_000) {
+            throw new IOException(plan + ": the keeper's expiry (" + keeper.expiry() / 1_000_000
+                    + "ms) is shorter than that of a txn type (" + expiry / 1_000 + "ms)");
+        }
+        placements = keeper == null ? null : new Placements(keeper.at(), keeper.lease(), stated.name(),
+                Long.toHexString(System.currentTimeMillis()) + "-" + ProcessHandle.current().pid(), desk);
+    }
+
+    private static Territory territory(Path plan) throws IOException {
+        PlanReader.Result read = PlanReader.read(plan);
+        if (read.plan() == null) {
+            throw new IOException(read.faults().stream().map(Fault::toString).collect(Collectors.joining("\n")));
+        }
+        return new Territory(read.plan());
     }
 
     /** Listens once it knows hosts; returns then. */
@@ -65,6 +97,9 @@
         threads.make(desk).start();
         threads.make(watch).start();
         threads.make(this::sweep).start();
+        if (placements != null) {
+            threads.make(placements).start();
+        }
         // What was known may be out of date: discovery has a while to tell better.
         long patient = System.nanoTime() + DISCOVERY_MILLIS * 1_000_000L;
         while (!desk.knowsHosts() || !watch.answered() && System.nanoTime() < patient) {
@@ -88,6 +123,12 @@
             waits.addAll(next.start().equals(stated.start()) ? List.of() : List.of("settings"));
             waits.addAll(next.memoryMb() == stated.memoryMb() && next.descriptors() == stated.descriptors()
                     ? List.of() : List.of("limits"));
+            if (plan != null) {
+                String objection = desk.plan(territory(plan));
+                if (objection != null) {
+                    throw new IOException(plan + ": " + objection);
+                }
+            }
             watch.moveTo(next.discovery());
             LOG.info("reloaded: discovery is at {}{}", next.discovery(),
                     waits.isEmpty() ? "" : "; for a restart: " + String.join(", ", waits));
@@ -122,6 +163,9 @@
         Thread.sleep(LAST_MILLIS);
         stopped = true;
         watch.stop();
+        if (placements != null) {
+            placements.stop();
+        }
         desk.stop();
         LOG.info("drained");
     }
--- a/src/main/java/beaconladder/serve/WarmUp.java
+++ b/src/main/java/beaconladder/serve/WarmUp.java
@@ -29,7 +29,7 @@
 
     static void run(Stated stated, Threads threads) throws InterruptedException {
         Room room = new Room(1 << 20);
-        Desk desk = new Desk(1, stated.start());
+        Desk desk = new Desk(1, stated.start(), null);
         InetSocketAddress nowhere = new InetSocketAddress("127.0.0.1", 1);
         InetSocketAddress primary = new InetSocketAddress("127.0.0.1", 2);
         Lines lines = new Lines(desk, stated.start(), threads, room, (address, of) -> new Line(address, of,
@@ -39,7 +39,7 @@
                 new Watch.Entry("a", primary, "", 0, Watch.State.READY, true, 0),
                 new Watch.Entry("b", nowhere, "", 0, Watch.State.READY, false, 0),
                 new Watch.Entry("c", nowhere, "", 0, Watch.State.READY, false, 0)));
-        Clients clients = new Clients(desk, lines, threads, room, stated.descriptors());
+        Clients clients = new Clients(desk, lines, threads, room, List.of(), stated.descriptors());
         List<String> types = new ArrayList<>();
         for (String name; (name = stated.start().get("request_classes." + types.size() + ".name")) != null;) {
             types.add(name);
--- a/src/main/java/beaconladder/serve/Wire.java
+++ b/src/main/java/beaconladder/serve/Wire.java
@@ -1,6 +1,7 @@
 package beaconladder.serve;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.ByteChannel;
 import java.nio.channels.SocketChannel;
@@ -10,6 +11,11 @@
     /** Ends what is written; the other side may still write. */
     void endWriting() throws IOException;
 
+    /** The other side's address, or null where there is none. */
+    default InetAddress from() {
+        return null;
+    }
+
     /** Over a socket. */
     record Real(SocketChannel channel) implements Wire {
         @Override
@@ -22,6 +28,11 @@
             return channel.write(from);
         }
 
+        @Override
+        public InetAddress from() {
+            return channel.socket().getInetAddress();
+        }
+
         @Override
         public void endWriting() throws IOException {
             channel.shutdownOutput();
--- a/src/test/java/beaconladder/serve/PartsTest.java
+++ b/src/test/java/beaconladder/serve/PartsTest.java
@@ -163,7 +163,7 @@
     void hostsThatAreGoneAreLetGo() throws Exception {
         Map<String, String> start = new LinkedHashMap<>(Map.of("request_classes.count", "1",
                 "family_info.freshness", "loose", "zones", "east"));
-        Desk desk = new Desk(1, start);
+        Desk desk = new Desk(1, start, null);
         desk.errands(new Lines(desk, start, Runnable::run, new Room(0), (address, room) -> {
             throw new IOException("nobody there");
         }));
@@ -174,7 +174,7 @@
                     new Watch.Entry("s" + (i - 5), null, "east", i % 2, Watch.State.GONE, false, 0)));
             Statement read = Statement.read("SELECT doc FROM items WHERE id = 'k' /* id=1,c=x,d=9 */");
             Hand hand = desk.take("t" + i, 0, desk.group(i % 2), read, Word.NONE, desk.now(),
-                    desk.now() + 1_000_000);
+                    desk.now() + 1_000_000, null);
             desk.left(hand);
             desk.release("t" + i);
             desk.sweep();
