--- a/src/main/java/beaconladder/app/LabCommand.java
+++ b/src/main/java/beaconladder/app/LabCommand.java
@@ -1,8 +1,10 @@
 package beaconladder.app;
 
+import beaconladder.lab.CellSizes;
 import beaconladder.lab.CellsRehearsal;
 import beaconladder.lab.CellsRehearsal.Fault;
 import beaconladder.lab.CellsRehearsal.Size;
+import beaconladder.lab.Demo;
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
@@ -27,6 +29,26 @@
         throw new ParameterException(spec.commandLine(), "the name of a rehearsal belongs here");
     }
 
+    @Command(name = "demo", mixinStandardHelpOptions = true,
+            description = "Routers between stand-ins for some seconds, with a drain, a move and a failover.")
+    int demo() throws IOException, InterruptedException {
+        return new Demo(spec.commandLine().getOut()).play() ? 0 : 1;
+    }
+
+    @Command(name = "sizes", mixinStandardHelpOptions = true,
+            description = "Measure the pure parts of cells at a large size.")
+    int sizes(@Option(names = "--seed", defaultValue = "1") long seed,
+            @Option(names = "--tenants", defaultValue = "10000") int tenants,
+            @Option(names = "--cells", defaultValue = "64") int cells,
+            @Option(names = "--routers", defaultValue = "320") int routers,
+            @Option(names = "--seconds", defaultValue = "20", description = "For the planner.") int seconds) {
+        if (tenants < 20 || cells < 2 || routers < 1 || seconds < 1) {
+            throw new ParameterException(spec.commandLine(), "at least 20 tenants, 2 cells, a router and a second");
+        }
+        spec.commandLine().getOut().println(CellSizes.measure(tenants, cells, routers, seconds, seed));
+        return 0;
+    }
+
     @Command(name = "cells", mixinStandardHelpOptions = true,
             description = "Cells: a flood, and moves that are interrupted.")
     int cells(@Option(names = "--seed", defaultValue = "1", description = "Same seed, same script.") long seed,
--- a/src/main/java/beaconladder/cells/Placement.java
+++ b/src/main/java/beaconladder/cells/Placement.java
@@ -12,7 +12,7 @@
  */
 public record Placement(long version, long until, String basis, Map<String, Seat> seats) {
     /** Before a keeper has spoken: nothing may be acted on but what never moves. */
-    public static final Placement NONE = new Placement(0, Long.MIN_VALUE, "", Map.of());
+    public static final Placement NONE = new Placement(0, 0, "", Map.of());
 
     /** The same for longer. */
     public Placement extended(long to) {
--- a/src/main/java/beaconladder/cells/Planner.java
+++ b/src/main/java/beaconladder/cells/Planner.java
@@ -15,6 +15,7 @@
 import org.chocosolver.solver.search.limits.FailCounter;
 import org.chocosolver.solver.search.loop.lns.neighbors.RandomNeighborhood;
 import org.chocosolver.solver.search.strategy.Search;
+import org.chocosolver.solver.search.strategy.strategy.AbstractStrategy;
 import org.chocosolver.solver.variables.BoolVar;
 import org.chocosolver.solver.variables.IntVar;
 
@@ -29,8 +30,12 @@
     private static final int PRICE = 10;
     /** Two tenants that should be apart and are not weigh as much as a quarter of a cell's fair part. */
     private static final int TOGETHER = 250;
-    /** Value counts as load does; both are what the loss of a cell costs. */
+    /** Twenty tenants are placed anew at a time, with so many tries, so many times: some seconds at 160 tenants. */
+    private static final int NEIGHBOURS = 20;
     private static final int BACKTRACKS = 200;
+    private static final int NEIGHBOURHOODS = 400;
+    /** A whole search of so many nodes takes about a second. */
+    private static final long WHOLE_NODES = 100_000;
     /** Beyond this many tenants the small ones are left where they are: the large ones decide the peak. */
     private static final int MOST_TENANTS = 160;
 
@@ -111,7 +116,7 @@
     }
 
     /** What a placement costs: the peak of load and of value against each cell's room, pairs together, moves. */
-    static int cost(Problem p, int[] at) {
+    public static int cost(Problem p, int[] at) {
         int moves = (int) IntStream.range(0, at.length).filter(i -> at[i] != p.home()[i]).count();
         return peak(p, at, p.load()) + peak(p, at, p.value()) / 2 + TOGETHER * together(p, at) + PRICE * moves;
     }
@@ -231,32 +236,57 @@
                 new int[] {2, 1, 2 * TOGETHER, 2 * PRICE, -2}, "<=", 1).post();
         model.setObjective(Model.MINIMIZE, cost);
         Solver solver = model.getSolver();
-        solver.setSearch(Search.intVarSearch(vars -> {
-            for (IntVar each : vars) {
-                if (!each.isInstantiated()) {
-                    return each;
-                }
-            }
-            return null;
-        }, each -> {
-            int home = start[free[Arrays.asList(at).indexOf(each)]];
-            return each.contains(home) ? home : each.getLB();
-        }, at), Search.inputOrderLBSearch(load, value, together, moves, cost));
-        solver.setLNS(new RandomNeighborhood(at, 20, new SplittableRandom(seed).nextLong()),
-                new FailCounter(model, BACKTRACKS));
-        solver.limitTime(seconds * 1_000L);
-        solver.limitSolution(10_000);
-        Solution best = new Solution(model, at);
+        solver.setSearch(search(start, free, at, load, value, together, moves, cost));
+        IntVar[] kept = Arrays.copyOf(at, at.length + 1);
+        kept[at.length] = cost;
+        Solution best = new Solution(model, kept);
         boolean found = false;
+        // First a whole search, which proves what it finds where the problem is small; then, from the best that is
+        // known, searches in the neighbourhood of it. Both end by counts, so that the same seed gives the same.
+        solver.limitTime(seconds * 500L);
+        solver.limitNode(WHOLE_NODES);
         while (solver.solve()) {
             best.record();
             found = true;
         }
+        boolean optimal = !solver.isStopCriterionMet();
+        if (!optimal) {
+            solver.hardReset();
+            solver.setSearch(search(start, free, at, load, value, together, moves, cost));
+            if (found) {
+                model.arithm(cost, "<", best.getIntVal(cost)).post();
+            }
+            solver.setLNS(new RandomNeighborhood(at, NEIGHBOURS, new SplittableRandom(seed).nextLong()),
+                    new FailCounter(model, BACKTRACKS));
+            solver.limitTime(seconds * 500L);
+            solver.limitRestart(NEIGHBOURHOODS);
+            while (solver.solve()) {
+                best.record();
+                found = true;
+            }
+        }
         int[] result = start.clone();
         for (int i = 0; found && i < free.length; i++) {
             result[free[i]] = best.getIntVal(at[i]);
         }
-        return new Solved(result, !solver.isStopCriterionMet());
+        return new Solved(result, optimal);
+    }
+
+    /** Each stays at first where the start has it; then the sums follow. */
+    private static AbstractStrategy<?>[] search(int[] start, int[] free, IntVar[] at, IntVar... sums) {
+        Map<IntVar, Integer> homes = new HashMap<>();
+        for (int i = 0; i < at.length; i++) {
+            homes.put(at[i], start[free[i]]);
+        }
+        return new AbstractStrategy<?>[] {Search.intVarSearch(vars -> {
+            for (IntVar each : vars) {
+                if (!each.isInstantiated()) {
+                    return each;
+                }
+            }
+            return null;
+        }, each -> each.contains(homes.get(each)) ? homes.get(each) : each.getLB(), at),
+            Search.inputOrderLBSearch(sums)};
     }
 
     /** The largest part of its room that any cell uses. */
--- a/src/main/java/beaconladder/lab/CellsRehearsal.java
+++ b/src/main/java/beaconladder/lab/CellsRehearsal.java
@@ -36,6 +36,7 @@
     private static final int WINDOW_MILLIS = 3_000;
     /** A flood is so many times what its cell is usually asked. */
     private static final int FLOOD_TIMES = 20;
+    private static final int SLOW_MILLIS = 250;
     private static final int MOVE_MILLIS = 25_000;
     private static final int HEAL_MILLIS = 1_200;
 
@@ -161,11 +162,14 @@
                 .filter(t -> t.sent() >= from && t.cell() == 0).count() * 1_000 / WINDOW_MILLIS));
         long served;
         long declined;
+        // Its hosts are slow, so that what is asked piles up in the routers.
+        installation.ground.members(0).forEach(member -> member.delayMillis = SLOW_MILLIS);
         try (Flood flood = new Flood(installation, kind, "t0", 0, FLOOD_TIMES * usual)) {
             Thread.sleep(WINDOW_MILLIS);
             served = flood.served();
             declined = flood.declined();
         }
+        installation.ground.members(0).forEach(member -> member.delayMillis = 0);
         long to = System.currentTimeMillis();
         double without = judge.service(from, middle, others);
         double with = judge.service(middle, to, others);
--- /dev/null
+++ b/src/main/java/beaconladder/lab/Demo.java
@@ -0,0 +1,91 @@
+package beaconladder.lab;
+
+import beaconladder.lab.Judge.End;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** For who has just cloned it: routers between stand-ins, some troubles, and what comes of the txns meanwhile. */
+public final class Demo {
+    private static final int SECOND = 1_000;
+
+    private final PrintWriter out;
+    private final Judge judge = new Judge();
+    private Installation all;
+    private int ran;
+
+    public Demo(PrintWriter out) {
+        this.out = out;
+    }
+
+    /** Plays it; whether every rule held. */
+    public boolean play() throws IOException, InterruptedException {
+        Path folder = Files.createTempDirectory("demo");
+        out.println("Two cells (north: group 0, south: group 1) of one primary and two replicas each, two routers, a"
+                + " keeper;\nall of them on loopback, the hosts played by stand-ins.");
+        String tenants = Stream.of("acme", "beta", "corp", "dune").map(t -> "(tenant " + t + " (cell c"
+                + (t.equals("acme") || t.equals("beta") ? 0 : 1) + "))\n").collect(Collectors.joining());
+        try (Installation started = new Installation(folder, 2, 1, 3, 2, 8, tenants)) {
+            all = started;
+            try (Load load = new Load(judge, all, List.of("acme", "beta", "corp", "dune"), new int[] {0, 0, 1, 1},
+                    new int[] {0, 0, 1, 1}, 12, 15, 1)) {
+                seconds(2, "usual load");
+                all.ground.list(all.ground.replica(0).id, "Terminating");
+                seconds(2, all.ground.replica(0).id + ", a replica, drains: reads go elsewhere at once");
+                all.keeper("/v1/move?tenant=acme&to=c1");
+                seconds(2, "tenant acme moves from north to south, group 0 to group 1");
+                Member primary = all.ground.primary(1);
+                primary.crash();
+                seconds(1, primary.id + ", the primary of south, dies: writes there wait or are declined");
+                Member next = all.ground.failOver(1);
+                seconds(2, next.id + " takes over");
+                primary.restart();
+                seconds(2, primary.id + " comes back as a replica");
+            }
+            Thread.sleep(300);
+            List<Judge.Broken> broken = judge.broken(all.ground, group -> group);
+            Map<End, Long> ends = judge.asked.stream()
+                    .collect(Collectors.groupingBy(Judge.Asked::end, TreeMap::new, Collectors.counting()));
+            out.printf("%n%d txns: %s%n", judge.asked.size(), ends.entrySet().stream().map(e -> e.getValue() + " "
+                    + e.getKey().name().toLowerCase(java.util.Locale.ROOT).replace('_', ' '))
+                    .collect(Collectors.joining(", ")));
+            boolean[] every = Judge.all(2);
+            out.printf("half of the answers within %d ms, 99 of 100 within %d ms%n",
+                    judge.quantile(0.5, 0, Long.MAX_VALUE, every), judge.quantile(0.99, 0, Long.MAX_VALUE, every));
+            out.println("acme lives in " + all.cellOf("acme") + "; its move: " + all.state("acme"));
+            broken.forEach(b -> out.println("BROKEN: " + b.rule() + ": " + b.example()));
+            out.println(broken.isEmpty() ? "every rule held, by what clients and hosts saw" : "a rule was broken");
+            out.flush();
+            return broken.isEmpty();
+        } finally {
+            try (Stream<Path> files = Files.walk(folder)) {
+                files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+            }
+        }
+    }
+
+    private void seconds(int count, String what) throws InterruptedException {
+        out.println();
+        out.println(what);
+        for (int i = 0; i < count; i++) {
+            long from = System.currentTimeMillis();
+            int before = ran;
+            Thread.sleep(SECOND);
+            List<Ground.Ran> now = List.copyOf(all.ground.ran);
+            ran = now.size();
+            Map<String, Long> hosts = now.subList(Math.min(before, ran), ran).stream()
+                    .collect(Collectors.groupingBy(Ground.Ran::host, TreeMap::new, Collectors.counting()));
+            Map<End, Long> ends = judge.asked.stream().filter(t -> t.answered() >= from)
+                    .collect(Collectors.groupingBy(Judge.Asked::end, TreeMap::new, Collectors.counting()));
+            out.printf("  %s   ran at %s%n", ends, hosts);
+            out.flush();
+        }
+    }
+}
--- a/src/main/java/beaconladder/lab/Member.java
+++ b/src/main/java/beaconladder/lab/Member.java
@@ -107,6 +107,9 @@
 
     private void work() {
         Member leader = ground.primary(group);
+        if (leader == null) {
+            return;
+        }
         if (leader != this) {
             pull(leader);
         } else {
--- a/src/main/java/beaconladder/plan/PlanReader.java
+++ b/src/main/java/beaconladder/plan/PlanReader.java
@@ -164,7 +164,7 @@
     private void network(String tenant, Node node, List<IPAddress> into) {
         try {
             IPAddress address = new IPAddressString(word(node)).toAddress();
-            if (address == null || address.isMultiple() && !address.isPrefixBlock()) {
+            if (address == null || address.isPrefixed() && !address.isPrefixBlock()) {
                 fault(node, "a network such as 10.1.0.0/16 belongs here, with no bits behind its prefix");
                 return;
             }
--- /dev/null
+++ b/src/test/java/beaconladder/cells/PlannerTest.java
@@ -0,0 +1,48 @@
+package beaconladder.cells;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beaconladder.plan.PlanReader;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+
+class PlannerTest {
+    private static Planner.Proposal propose(String plan, int most) {
+        return Planner.propose(Planner.problem(PlanReader.read("p", plan).plan()), most, 5, 1);
+    }
+
+    private static String moves(Planner.Proposal proposal) {
+        return proposal.moves().stream().map(m -> m.tenant() + ">" + m.to()).sorted().collect(Collectors.joining(" "));
+    }
+
+    /** Greedy sees no single move that helps here: the two have to swap. */
+    @Test
+    void theSolverFindsWhatNoSingleMoveShows() {
+        String plan = """
+                (cell a (groups 0)) (cell b (groups 1))
+                (tenant a1 (cell a) (load 6txns/s)) (tenant a2 (cell a) (load 4txns/s))
+                (tenant b1 (cell b) (load 5txns/s)) (tenant b2 (cell b) (load 3txns/s))
+                (tenant a3 (cell a) (load 1txns/s) (fixed)) (tenant b3 (cell b) (load 1txns/s) (fixed))
+                """;
+        Planner.Proposal proposal = propose(plan, 4);
+        assertThat(proposal.peakAfter()).isEqualTo(1_000);
+        assertThat(proposal.costAfter()).isLessThan(proposal.costBefore());
+        assertThat(proposal.moves()).hasSize(2);
+        assertThat(proposal.moves()).noneMatch(m -> m.tenant().endsWith("3"));
+    }
+
+    @Test
+    void thoseWhoShouldBeApartArePartedAndAGoodPlacementStays() {
+        String plan = """
+                (cell a (groups 0)) (cell b (groups 1)) (cell c (groups 2))
+                (tenant x (cell a) (apart-from y)) (tenant y (cell a)) (tenant z (cell b))
+                """;
+        Planner.Proposal proposal = propose(plan, 3);
+        assertThat(moves(proposal)).isIn("x>c", "y>c");
+        assertThat(proposal.optimal()).isTrue();
+        assertThat(proposal.survives()).isTrue();
+        assertThat(moves(propose(plan, 0))).isEmpty();
+        assertThat(moves(propose(plan.replace("(tenant y (cell a))", "(tenant y (cell c))"), 3))).isEmpty();
+        assertThat(propose(plan, 3)).isEqualTo(proposal);
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconladder/store/RecordsTest.java
@@ -0,0 +1,129 @@
+package beaconladder.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+@Timeout(60)
+class RecordsTest {
+    @TempDir
+    Path folder;
+
+    /** For the test of kills: appends records and says each once it is written. */
+    public static void main(String[] args) throws IOException {
+        try (Records records = Records.open(Path.of(args[0]))) {
+            for (int i = records.found().size();; i++) {
+                if (i % 25 == 24) {
+                    List<byte[]> all = new ArrayList<>();
+                    for (int n = 0; n <= i; n++) {
+                        all.add(text(n));
+                    }
+                    records.replace(all);
+                } else {
+                    records.append(text(i));
+                }
+                System.out.println(i);
+            }
+        }
+    }
+
+    private static byte[] text(int i) {
+        return ("record " + i + "x".repeat(i * 37 % 700)).getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void whatWasSaidToBeWrittenIsThereAfterAKillAtAnyInstant() throws Exception {
+        int before = 0;
+        Path out = folder.resolve("said");
+        for (int round = 0; round < 8; round++) {
+            Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-cp", System.getProperty("java.class.path"), RecordsTest.class.getName(), folder.toString())
+                    .redirectError(ProcessBuilder.Redirect.INHERIT).redirectOutput(out.toFile()).start();
+            while (said(out) < before + 3 + 5 * round) {
+                Thread.sleep(1);
+            }
+            Thread.sleep(round);
+            process.destroyForcibly().onExit().join();
+            int said = said(out);
+            try (Records records = Records.open(folder)) {
+                before = records.found().size();
+                assertThat(before).isBetween(said + 1, said + 2);
+                for (int i = 0; i < before; i++) {
+                    assertThat(records.found().get(i)).isEqualTo(text(i));
+                }
+            }
+        }
+    }
+
+    /** The last number that stands whole in the file, or -1. */
+    private static int said(Path out) throws IOException {
+        String text = Files.readString(out);
+        String[] lines = text.substring(0, text.lastIndexOf('\n') + 1).split("\n");
+        return lines[lines.length - 1].isEmpty() ? -1 : Integer.parseInt(lines[lines.length - 1]);
+    }
+
+    /** What the disk holds when a write stops at any byte: the old bytes behind the new ones, or none. */
+    @Test
+    void aWriteThatStopsAtAnyByteLosesNoRecordOfBefore() throws Exception {
+        List<byte[]> images = new ArrayList<>();
+        try (Records records = Records.open(folder)) {
+            for (int i = 0; i < 24; i++) {
+                records.append(text(i));
+                images.add(Files.readAllBytes(folder.resolve("records.mv")));
+            }
+        }
+        Path torn = folder.resolve("torn");
+        Files.createDirectories(torn);
+        for (int i = 1; i < images.size(); i += 2) {
+            byte[] before = images.get(i - 1);
+            byte[] after = images.get(i);
+            for (int cut = 0; cut <= after.length; cut += Math.max(1, after.length / 40)) {
+                byte[] image = new byte[Math.max(cut, before.length)];
+                System.arraycopy(before, 0, image, 0, before.length);
+                System.arraycopy(after, 0, image, 0, cut);
+                Files.write(torn.resolve("records.mv"), image);
+                try (Records records = Records.open(torn)) {
+                    assertThat(records.found().size()).as("record %d, cut at %d", i, cut).isBetween(i, i + 1);
+                    assertThat(records.found().get(i - 1)).isEqualTo(text(i - 1));
+                }
+            }
+        }
+    }
+
+    @Test
+    void aRecordWhoseBytesHaveChangedIsNotTakenForGood() throws Exception {
+        try (Records records = Records.open(folder)) {
+            records.append("the record that will be spoilt".getBytes(StandardCharsets.UTF_8));
+        }
+        Path file = folder.resolve("records.mv");
+        byte[] bytes = Files.readAllBytes(file);
+        String text = new String(bytes, StandardCharsets.ISO_8859_1);
+        int at = text.indexOf("will be spoilt");
+        assertThat(at).isPositive();
+        while (at >= 0) {
+            bytes[at] ^= 1;
+            at = text.indexOf("will be spoilt", at + 1);
+        }
+        Files.write(file, bytes);
+        assertThatThrownBy(() -> Records.open(folder).close()).isInstanceOf(IOException.class)
+                .hasMessageContaining("damaged");
+    }
+
+    @Test
+    void twoProcessesCannotHaveTheSameRecords() throws Exception {
+        try (Records records = Records.open(folder)) {
+            records.append(new byte[] {1});
+            assertThatThrownBy(() -> Records.open(folder)).isInstanceOf(IOException.class)
+                    .hasMessageContaining("in use");
+        }
+    }
+}
