A move whose source changes in the fence is undone at once, and a whole copy is left alone

Cause: with the fence's position known, a new old primary was copied from anew, and a whole copy could be thrown away for it while sealed; the rehearsal showed a fence held for its whole bound (3,995 ms). Now any change of the source before the copy is whole undoes the move, and nothing is fed any more once it is. Rehearsals hold a fence up by a silent router, so that failures come in it; sessions of the moved tenant write and read without rest.

--- a/src/main/java/beaconladder/cells/Moves.java
+++ b/src/main/java/beaconladder/cells/Moves.java
@@ -169,14 +169,14 @@
         if (move.quietAt == Long.MIN_VALUE && quiet(move, now)) {
             move.quietAt = now;
         }
+        if (!sameSources(move)) {
+            // It may lack committed writes that the copy has to have, or the copy may have what it lacks.
+            return undone(move, "a primary of " + move.from + " changed in the fence", now);
+        }
         if (move.quietAt == Long.MIN_VALUE) {
-            return changedSource(move) ? undone(move, "a primary of " + move.from + " changed in the fence", now)
-                    : null;
+            return null;
         }
         if (move.fences.isEmpty()) {
-            if (changedSource(move)) {
-                return undone(move, "a primary of " + move.from + " changed in the fence", now);
-            }
             // Asked before all was quiet, a position says nothing of the last writes.
             if (!all(move, s -> s.askedAt() > move.quietAt && s.source() != null)) {
                 return null;
@@ -252,11 +252,6 @@
         return true;
     }
 
-    /** Another primary may lack committed writes that the copy must have, or the copy may have what it lacks. */
-    private static boolean changedSource(Move move) {
-        return !sameSources(move);
-    }
-
     /** Whether no router acts on an older word than this. */
     private boolean heard(long version, long now) {
         return routers.values().stream()
@@ -442,7 +437,8 @@
     /**
      * A question that the keeper has to ask.
      *
-     * @param feeds whether the new group's primary is to copy from the old one
+     * @param feeds whether the new group's primary is to copy from the old one; not once the copy is known to be
+     *              whole, as another old primary might be copied from instead
      */
     public record Errand(String tenant, int slot, int source, int target, boolean feeds) {
     }
@@ -455,7 +451,7 @@
             List<Integer> to = territory.cell(territory.place(move.to)).groups();
             for (int slot = 0; slot < from.size(); slot++) {
                 errands.add(new Errand(move.tenant, slot, from.get(slot), to.get(slot),
-                        move.state != Kind.PROPOSED && move.state != Kind.SWITCHED));
+                        move.state == Kind.COPYING || move.state == Kind.FENCED));
             }
         }
         return errands;
--- a/src/main/java/beaconladder/lab/CellsRehearsal.java
+++ b/src/main/java/beaconladder/lab/CellsRehearsal.java
@@ -11,9 +11,11 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.stream.Stream;
@@ -31,12 +33,15 @@
 
     /** In which state of the move it happens. */
     private static final List<String> STATES = List.of("copying", "fenced", "sealed", "switched");
+    private static final Set<Fault> IN_THE_FENCE = EnumSet.of(Fault.SOURCE_FAILS, Fault.TARGET_FAILS,
+            Fault.LOST_TAIL, Fault.KILL_ROUTER, Fault.KILL_KEEPER, Fault.UNDO, Fault.SECOND_MOVE, Fault.RELOAD);
     /** Other cells' service may move so much for a flood. */
     private static final double FLOOD_LIMIT = 0.01;
     private static final int WINDOW_MILLIS = 3_000;
     /** A flood is so many times what its cell is usually asked. */
     private static final int FLOOD_TIMES = 20;
     private static final int SLOW_MILLIS = 250;
+    private static final int BUSY_SESSIONS = 4;
     private static final int MOVE_MILLIS = 25_000;
     private static final int HEAL_MILLIS = 1_200;
 
@@ -93,7 +98,7 @@
                 homes[i] = i % size.cells();
                 groups[i] = homes[i];
             }
-            try (Load load = new Load(judge, all, names, homes, groups, size.clients(), size.restMillis(),
+            try (Load load = new Load(judge, all, names, homes, groups, "k", size.clients(), size.restMillis(),
                     chance.nextLong())) {
                 Thread.sleep(1_500);
                 if (withFlood) {
@@ -194,13 +199,29 @@
 
     // ---- Moves and what befalls them ----------------------------------------------------------------------
 
+    /** A move, with sessions of its tenant that write and read without rest, at one router and another. */
     private void move(Planned step) throws IOException, InterruptedException {
+        int home = Integer.parseInt(step.tenant().substring(1)) % size.cells();
+        try (Load busy = new Load(judge, installation, List.of(step.tenant()), new int[] {home}, new int[] {home},
+                "m" + step.tenant() + "-", BUSY_SESSIONS, 2, chance.nextLong())) {
+            Thread.sleep(200);
+            moves(step);
+        }
+    }
+
+    private void moves(Planned step) throws IOException, InterruptedException {
         String from = "c" + Integer.parseInt(step.tenant().substring(1)) % size.cells();
         int source = Integer.parseInt(from.substring(1));
         int target = Integer.parseInt(step.to().substring(1));
         if (step.fault() == Fault.LOSE_ANSWERS) {
             installation.ground.primary(source).loseAnswers.set(5);
         }
+        // A router that does not hear holds the fence up for the rest of its lease and an expiry: time to fail in.
+        Relay silent = step.at().equals("fenced") && IN_THE_FENCE.contains(step.fault())
+                ? installation.relays.get((step.router() + 1) % size.routers()) : null;
+        if (silent != null) {
+            silent.cut();
+        }
         installation.keeper("/v1/move?tenant=" + step.tenant() + "&to=" + step.to());
         long proposed = System.currentTimeMillis();
         long fenced = 0;
@@ -234,6 +255,9 @@
         if (befalls != null) {
             befalls.join(20_000);
         }
+        if (silent != null) {
+            silent.mend();
+        }
         if (fenced > 0 && opened > 0) {
             fences.add(opened - fenced);
         }
--- a/src/main/java/beaconladder/lab/Demo.java
+++ b/src/main/java/beaconladder/lab/Demo.java
@@ -35,7 +35,7 @@
         try (Installation started = new Installation(folder, 2, 1, 3, 2, 8, tenants)) {
             all = started;
             try (Load load = new Load(judge, all, List.of("acme", "beta", "corp", "dune"), new int[] {0, 0, 1, 1},
-                    new int[] {0, 0, 1, 1}, 12, 15, 1)) {
+                    new int[] {0, 0, 1, 1}, "k", 12, 15, 1)) {
                 seconds(2, "usual load");
                 all.ground.list(all.ground.replica(0).id, "Terminating");
                 seconds(2, all.ground.replica(0).id + ", a replica, drains: reads go elsewhere at once");
--- a/src/main/java/beaconladder/lab/Load.java
+++ b/src/main/java/beaconladder/lab/Load.java
@@ -141,6 +141,7 @@
 
     private final Judge judge;
     private final Doors doors;
+    private final String keys;
     private final AtomicLong ids = new AtomicLong();
     private final List<Thread> threads = new ArrayList<>();
     private volatile boolean stopped;
@@ -149,22 +150,24 @@
      * Clients that start at once.
      *
      * @param tenants   names; tenant i lives in cell homes[i] and names group groups[i]
+     * @param keys      what the names of their keys begin with
      * @param clients   threads, each with sessions of its own
      * @param restMillis between two txns of a client, on average
      */
-    Load(Judge judge, Doors doors, List<String> tenants, int[] homes, int[] groups, int clients, int restMillis,
-            long seed) {
+    Load(Judge judge, Doors doors, List<String> tenants, int[] homes, int[] groups, String keys, int clients,
+            int restMillis, long seed) {
         this.judge = judge;
+        this.keys = keys;
         this.doors = doors;
         SplittableRandom chance = new SplittableRandom(seed);
         for (int i = 0; i < clients; i++) {
             List<Session> own = new ArrayList<>();
             for (int t = i; t < tenants.size(); t += clients) {
-                own.add(new Session(tenants.get(t), "k" + i, homes[t], groups[t]));
+                own.add(new Session(tenants.get(t), keys + i, homes[t], groups[t]));
             }
             if (own.isEmpty()) {
                 int t = i % tenants.size();
-                own.add(new Session(tenants.get(t), "k" + i, homes[t], groups[t]));
+                own.add(new Session(tenants.get(t), keys + i, homes[t], groups[t]));
             }
             SplittableRandom mine = chance.split();
             threads.add(Tasks.spawn(() -> live(own, mine, restMillis)));
@@ -225,7 +228,7 @@
 
     /** Asks one txn and notes what came of it; false when the connection is of no further use. */
     private boolean ask(Line line, Session session, String type) {
-        String id = "x" + Long.toHexString(ids.incrementAndGet());
+        String id = keys + "x" + Long.toHexString(ids.incrementAndGet());
         boolean write = type.equals("write") || type.equals("token");
         long version = write ? ++session.tried : 0;
         long sent = System.currentTimeMillis();
--- a/src/main/java/beaconladder/lab/Member.java
+++ b/src/main/java/beaconladder/lab/Member.java
@@ -135,7 +135,8 @@
         }
         synchronized (this) {
             long now = System.currentTimeMillis();
-            if (at > 0 && !primary) {
+            // What was seen of a leader that has been replaced meanwhile is not waited for.
+            if (at > 0 && !primary && ground.primary(group) == leader) {
                 pipe.add(new Received(now + lagMillis, length, at));
             }
             while (!pipe.isEmpty() && pipe.peek().due() <= now) {
@@ -151,6 +152,9 @@
         while (log.size() < length) {
             Entry entry;
             synchronized (leader.log) {
+                if (log.size() >= leader.log.size()) {
+                    return;
+                }
                 entry = leader.log.get(log.size());
             }
             apply(entry);
