--- a/src/main/java/beaconladder/lab/CellsRehearsal.java
+++ b/src/main/java/beaconladder/lab/CellsRehearsal.java
@@ -424,6 +424,7 @@
         }
         figures.put("service_least", Arrays.stream(service).min().orElse(1))
                 .put("service_most", Arrays.stream(service).max().orElse(1));
+        figures.put("machine_busy_ms", judge.busyMillis());
         figures.put("seconds", millis / 1_000).put("held", broken.isEmpty());
         for (Judge.Broken each : broken) {
             out.printf("BROKEN: %s, %d times: %s%n", each.rule(), each.times(), each.example());
