A write whose client left while it was out still counts at a fence

Cause: the gate dropped a txn's leave when its client left, and with it the write that was out: a fence did not wait for it, and it could run in the old cell behind the fence.

--- a/src/main/java/beaconladder/cells/Gate.java
+++ b/src/main/java/beaconladder/cells/Gate.java
@@ -80,9 +80,6 @@
     private final Map<String, Integer> writes = new HashMap<>();
     private final Map<String, long[]> commits = new LinkedHashMap<>();
     private final Deque<Lingering> lingering = new ArrayDeque<>();
-    /** Declines by reason, for people. */
-    private final Map<String, Long> declines = new LinkedHashMap<>();
-
     public Gate(String router, Territory territory, Room room) {
         this.router = router;
         this.room = room;
@@ -150,25 +147,25 @@
         Plan.Tenant stated = territory.tenant(tenant);
         Seat seat = placement.seats().get(tenant);
         if (!territory.admits(tenant, from)) {
-            return count(new Answer(Kind.REFUSE, null, 0, "clients at this address don't speak for " + tenant,
-                    0));
+            return new Answer(Kind.REFUSE, null, 0, "clients at this address don't speak for " + tenant,
+                    0);
         }
         boolean fixed = !kept || stated != null && stated.fixed();
         if (!fixed && now >= placement.until() - CLOCKS) {
-            return count(Answer.decline("the lease on the placement is over", COME_BACK));
+            return Answer.decline("the lease on the placement is over", COME_BACK);
         }
         if (!fixed && seat == null && !sameBasis) {
-            return count(Answer.decline("this router's plan differs from the keeper's", COME_BACK));
+            return Answer.decline("this router's plan differs from the keeper's", COME_BACK);
         }
         int cell = seat == null || fixed ? territory.home(tenant, key) : territory.place(seat.cell());
         if (cell < 0) {
-            return count(new Answer(Kind.REFUSE, null, 0, "no cell takes tenant " + tenant, 0));
+            return new Answer(Kind.REFUSE, null, 0, "no cell takes tenant " + tenant, 0);
         }
         if (territory.cellOf(group) < 0) {
-            return count(new Answer(Kind.REFUSE, null, 0, "group " + group + " is in no cell", 0));
+            return new Answer(Kind.REFUSE, null, 0, "group " + group + " is in no cell", 0);
         }
         if (served != null && !served.contains(cell)) {
-            return count(Answer.decline("this router does not serve cell " + territory.cell(cell).name(), 0));
+            return Answer.decline("this router does not serve cell " + territory.cell(cell).name(), 0);
         }
         double share = territory.share(tenant);
         Shares.Answer taken = txns.take(cell, tenant, share, 1, value, now);
@@ -179,25 +176,17 @@
             }
         }
         if (taken != Shares.Answer.TAKEN) {
-            return count(Answer.decline(switch (taken) {
+            return Answer.decline(switch (taken) {
                 case TENANT_FULL -> tenant + " holds its share";
                 case CELL_FULL -> "cell " + territory.cell(cell).name() + " holds its share";
                 default -> "the router is full";
-            }, COME_BACK));
+            }, COME_BACK);
         }
         int to = territory.groupIn(cell, group);
         Pass pass = new Pass(tenant, cell, to, territory.slot(to), write, size, arrived, expiry);
         return again(pass, now);
     }
 
-    private Answer count(Answer answer) {
-        declines.merge(answer.reason(), 1L, Long::sum);
-        if (declines.size() > 64) {
-            declines.clear();
-        }
-        return answer;
-    }
-
     /** One that was held asks again; its pass is given back where it is declined. */
     public Answer again(Pass pass, long now) {
         if (stands(pass, now)) {
@@ -212,8 +201,8 @@
             return new Answer(Kind.HOLD, pass, until, null, 0);
         }
         giveBack(pass);
-        return count(Answer.decline(here ? pass.tenant + " is being moved" : pass.tenant + " has moved",
-                here ? COME_BACK : 0));
+        return Answer.decline(here ? pass.tenant + " is being moved" : pass.tenant + " has moved",
+                here ? COME_BACK : 0);
     }
 
     /** No txn may be in hand longer, in nanoseconds: a fence waits so long for what may yet run. */
@@ -250,11 +239,11 @@
     /** A submission has ended. What may yet run counts as in hand until its client's time is over. */
     public void ended(Submission s, Outcome outcome, Word answer, long now) {
         Pass pass = passes.get(s.txn);
-        if (pass == null || !pass.write) {
+        if (pass == null || !pass.write || !kept) {
             return;
         }
         if (outcome == Outcome.TIMED_OUT || outcome == Outcome.CANCELLED || outcome == Outcome.RESET) {
-            lingering.add(new Lingering(pass.tenant, pass.expiry + CLOCKS));
+            linger(pass);
         }
         Seat seat = placement.seats().get(pass.tenant);
         if (outcome == Outcome.COMMITTED && seat != null && seat.moving()) {
@@ -271,11 +260,19 @@
         if (pass != null) {
             if (pass.write) {
                 writes.computeIfPresent(pass.tenant, (t, n) -> n == 1 ? null : n - 1);
+                // A client that leaves ends its txn, not what is out of it: a host may run that all the same.
+                if (kept && txn.out() > 0) {
+                    linger(pass);
+                }
             }
             giveBack(pass);
         }
     }
 
+    private void linger(Pass pass) {
+        lingering.add(new Lingering(pass.tenant, pass.expiry + CLOCKS));
+    }
+
     /** The client of a txn that was held has left. */
     public void left(Pass pass) {
         giveBack(pass);
@@ -368,10 +365,6 @@
         return txns.used(cell);
     }
 
-    public Map<String, Long> declines() {
-        return declines;
-    }
-
     public Territory territory() {
         return territory;
     }
--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -95,7 +95,7 @@
     /** Takes in what is there and does what it says; false when the connection is over. */
     boolean readable() {
         try {
-            Pass tenant = charged ? null : counted();
+            Pass tenant = charged || !desk.confined() ? null : counted();
             if (tenant != null) {
                 in.charge(clients.room(tenant.cell()));
                 charged = true;
--- a/src/main/java/beaconladder/serve/Desk.java
+++ b/src/main/java/beaconladder/serve/Desk.java
@@ -183,7 +183,12 @@
                     gate.left(answer.pass());
                     return null;
                 }
-                placed.awaitNanos(Math.min(LOOK_NANOS, Math.max(1, answer.until() - now())));
+                try {
+                    placed.awaitNanos(Math.min(LOOK_NANOS, Math.max(1, answer.until() - now())));
+                } catch (InterruptedException e) {
+                    gate.left(answer.pass());
+                    throw e;
+                }
                 answer = gate.again(answer.pass(), now());
             }
             return answer;
