A trace of each txn's life at DEBUG, off by default

The desk gathers one line an event under its lock (take, send, end, decline, roll back, left, over, probe, probed, listed, the settings at start) and writes them once the lock is free, on the logger beaconladder.trace, switched on by -Dorg.slf4j.simpleLogger.log.beaconladder.trace=debug.

--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -178,6 +178,7 @@
         } else if (length < 5 || in.int8(in.end() - 1) != 0) {
             fatal("08P01", "a startup message without its end");
         } else if (clients.full()) {
+            Trace.door("refused: no descriptor");
             fatal("53300", "too many connections");
         } else {
             Outbox out = new Outbox();
@@ -264,6 +265,7 @@
                 busy = false;
             }
             // No thread is left to see a txn through: it is declined here, before it is taken in hand.
+            Trace.door("declined: no thread");
             sendNow(new Outbox().error("ERROR", "53300",
                     "declined, as too many txns are in hand; it has not run", null).ready());
         } else {
--- a/src/main/java/beaconladder/serve/Desk.java
+++ b/src/main/java/beaconladder/serve/Desk.java
@@ -81,6 +81,8 @@
     /** What is to be done on sockets once the lock is free. */
     private final List<Consumer<Errands>> errands = new ArrayList<>();
     private volatile Errands lines;
+    /** Each txn's life and what was heard of hosts, at DEBUG. */
+    private final Trace trace = new Trace();
     private long until = Long.MAX_VALUE;
     private long taken;
     /** How many hosts have been named; each has a number of its own. */
@@ -94,6 +96,7 @@
         zones = Arrays.asList(start.getOrDefault("zones", "").split(","));
         places(start, "request_classes", typePlaces);
         places(start, "parties", tenantPlaces);
+        trace.settings(start);
     }
 
     private static void places(Map<String, String> start, String list, Map<String, Integer> into) {
@@ -299,6 +302,7 @@
                     tenantPlaces.getOrDefault(statement.value("t"), -1), "1".equals(statement.value("r")),
                     arrived, expiry, taken++), statement);
             hands.put(hand.txn, hand);
+            trace.taken(hand.txn, id, now());
             if (pass != null) {
                 gate.bind(hand.txn, pass);
             }
@@ -335,6 +339,7 @@
             if (s.ended) {
                 return;
             }
+            trace.ended(s, outcome, now);
             boolean settled = s.txn.ended || outcome == Outcome.COMMITTED;
             Hand hand = hands.get(s.txn);
             rounds.act(s.txn, router.after(s, outcome, settled, answer, report, now), now);
@@ -348,6 +353,7 @@
     void left(Hand hand) {
         tell(now -> {
             if (!hand.txn.ended) {
+                trace.finished(hand.txn, "left", now);
                 rounds.act(hand.txn, router.left(hand.txn, now), now);
                 hand.tell(new Hand.Order(Hand.Kind.LEFT, null, 0, null));
             }
@@ -355,7 +361,10 @@
     }
 
     void probed(Host host, Outcome outcome, Word report) {
-        tell(now -> router.probed(host, outcome, report, now));
+        tell(now -> {
+            trace.probed(host, outcome, host.probeSent, now);
+            router.probed(host, outcome, report, now);
+        });
     }
 
     @Override
@@ -371,6 +380,8 @@
                 Host host = hosts.computeIfAbsent(e.id(),
                         id -> new Host(numbered++, group, zones.indexOf(e.zone())));
                 named.add(host);
+                trace.named(host, e.id());
+                trace.listed(host, e.state().name(), e.leader(), e.launchedMillis());
                 if (e.address() != null) {
                     InetSocketAddress before = addresses.put(host, e.address());
                     if (before != null && !before.equals(e.address())) {
@@ -420,6 +431,7 @@
 
     private void tell(LongConsumer news) {
         List<Consumer<Errands>> then;
+        List<String> traced;
         lock.lock();
         try {
             long now = now();
@@ -431,9 +443,11 @@
             until = next;
             then = errands.isEmpty() ? List.of() : List.copyOf(errands);
             errands.clear();
+            traced = trace.take();
         } finally {
             lock.unlock();
         }
+        trace.flush(traced);
         then.forEach(errand -> errand.accept(lines));
     }
 
@@ -476,6 +490,7 @@
     @Override
     public void send(Submission s, long timeout) {
         Hand hand = hands.get(s.txn);
+        trace.sent(s, timeout);
         Hand.Order order = new Hand.Order(Hand.Kind.SEND, s, s.sent + timeout, null);
         if (!hand.tell(order)) {
             errands.add(to -> to.start(hand, order));
@@ -489,16 +504,20 @@
 
     @Override
     public void decline(Txn txn, long comeBack) {
+        trace.finished(txn, "decline", now());
         hands.get(txn).tell(new Hand.Order(Hand.Kind.DECLINED, null, comeBack, null));
     }
 
     @Override
     public void rollBack(Txn txn) {
+        trace.finished(txn, "rollback", now());
         hands.get(txn).tell(new Hand.Order(Hand.Kind.ROLLED_BACK, null, 0, null));
     }
 
     @Override
     public void ended(Txn txn) {
+        trace.finished(txn, "over", now());
+        trace.gone(txn);
         hands.remove(txn);
         if (gate != null) {
             gate.ended(txn);
@@ -507,6 +526,7 @@
 
     @Override
     public void probe(Host host) {
+        trace.probe(host);
         errands.add(to -> to.probe(host));
     }
 
--- /dev/null
+++ b/src/main/java/beaconladder/serve/Trace.java
@@ -0,0 +1,146 @@
+package beaconladder.serve;
+
+import beaconladder.api.Router.Outcome;
+import beaconladder.fleet.Host;
+import beaconladder.fleet.Submission;
+import beaconladder.fleet.Txn;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The life of each txn and what was heard of each host, one line an event, at the level DEBUG of the logger
+ * {@code beaconladder.trace}; off by default. Lines are gathered under the desk's lock and written once it is
+ * free. Times are milliseconds since the txn came in; ids are those of the clients and of discovery.
+ *
+ * <p>Switch it on with {@code -Dorg.slf4j.simpleLogger.log.beaconladder.trace=debug} in the command line.
+ */
+final class Trace {
+    private static final Logger LOG = LoggerFactory.getLogger("beaconladder.trace");
+
+    private final boolean on = LOG.isDebugEnabled();
+    private final List<String> lines = new ArrayList<>();
+    /** The client's id of each txn in hand. */
+    private final Map<Txn, String> ids = new java.util.HashMap<>();
+    /** Discovery's id of each host. */
+    private final Map<Host, String> names = new java.util.HashMap<>();
+
+    boolean on() {
+        return on;
+    }
+
+    /** What the door answered by itself, before the desk had the txn. */
+    static void door(String what) {
+        LOG.debug("door {}", what);
+    }
+
+    void settings(Map<String, String> start) {
+        if (on) {
+            LOG.debug("settings {}", new java.util.TreeMap<>(start));
+        }
+    }
+
+    void named(Host host, String id) {
+        if (on) {
+            names.put(host, id);
+        }
+    }
+
+    void taken(Txn txn, String id, long now) {
+        if (on) {
+            ids.put(txn, id);
+            add("take " + id + " type=" + txn.type.place() + " group=" + txn.group.number + " budget="
+                    + ms(txn.expiry - txn.arrived) + " written=" + (txn.written == Long.MIN_VALUE ? "-"
+                    : ms(now - txn.written)) + " repeat=" + txn.repeated);
+        }
+    }
+
+    void sent(Submission s, long timeout) {
+        if (on) {
+            Host host = s.host;
+            add("send " + id(s.txn) + " n=" + s.number + " host=" + name(host) + " " + role(host) + " at="
+                    + ms(s.sent - s.txn.arrived) + " timeout=" + ms(timeout) + " out=" + s.beside
+                    + " lagms=" + (host.position == Long.MIN_VALUE ? "-" : ms(s.sent - host.position))
+                    + " cold=" + (host.launched > 0 ? ms(s.sent - host.launched) : "-")
+                    + " tickets=" + host.tickets.size());
+        }
+    }
+
+    void ended(Submission s, Outcome outcome, long now) {
+        if (on) {
+            add("end " + id(s.txn) + " n=" + s.number + " host=" + name(s.host) + " " + outcome + " took="
+                    + ms(now - s.sent));
+        }
+    }
+
+    void finished(Txn txn, String how, long now) {
+        if (on) {
+            add(how + " " + id(txn) + " at=" + ms(now - txn.arrived) + " left=" + ms(txn.expiry - now)
+                    + " subs=" + txn.submissions.size() + " want=" + txn.want + " asked=" + txn.asked);
+        }
+    }
+
+    void gone(Txn txn) {
+        if (on) {
+            ids.remove(txn);
+        }
+    }
+
+    void probe(Host host) {
+        if (on) {
+            add("probe host=" + name(host) + " " + role(host));
+        }
+    }
+
+    void probed(Host host, Outcome outcome, long sent, long now) {
+        if (on) {
+            add("probed host=" + name(host) + " " + outcome + " took=" + ms(now - sent));
+        }
+    }
+
+    void listed(Host host, String state, boolean leader, long launched) {
+        if (on) {
+            add("listed host=" + name(host) + " group=" + host.group.number + " zone=" + host.zone + " "
+                    + state + (leader ? " leader" : "") + " started=" + launched);
+        }
+    }
+
+    /** Writes what was gathered; called with the desk's lock free. */
+    void flush(List<String> gathered) {
+        for (String line : gathered) {
+            LOG.debug(line);
+        }
+    }
+
+    /** Hands over what was gathered under the lock, and forgets it. */
+    List<String> take() {
+        if (lines.isEmpty()) {
+            return List.of();
+        }
+        List<String> all = List.copyOf(lines);
+        lines.clear();
+        return all;
+    }
+
+    private void add(String line) {
+        lines.add(line);
+    }
+
+    private String id(Txn txn) {
+        return ids.getOrDefault(txn, "#" + txn.number);
+    }
+
+    private String name(Host host) {
+        return names.getOrDefault(host, "#" + host.id);
+    }
+
+    private static String role(Host host) {
+        return host == host.group.primary ? "primary" : "replica";
+    }
+
+    private static String ms(long nanos) {
+        return String.valueOf(nanos / 1_000_000);
+    }
+}
