--- a/src/main/java/beaconladder/lab/Judge.java
+++ b/src/main/java/beaconladder/lab/Judge.java
@@ -48,7 +48,7 @@
     /** Tenants of such names are not stated: their keys are spread. */
     static final String SPREAD = "other";
 
-    /** A look that was due every ten milliseconds and came so much later tells of a machine that is too busy. */
+    /** A look that was due every ten milliseconds and came much later tells of a machine that is too busy. */
     private static final long TICK_MILLIS = 10;
     private static final long BUSY_MILLIS = 60;
 
--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -366,9 +366,9 @@
             return false;
         }
         // Closed, not half-closed: a query that crosses this is answered by a reset, so that it is known not
-        // to have been read. One read after a half-close would be a txn taken and never answered. The last look
-        // comes right before the close: on a part of a core this thread may stand still between any two steps,
-        // and what came meanwhile would be ended with no answer.
+        // to have been read. One read after a half-close would be a txn taken and never answered. The last
+        // look comes right before the close: on a part of a core this thread may stand still between any two
+        // steps, and what came meanwhile would be ended with no answer.
         try {
             if (in.feed(wire) > 0) {
                 pump();
