Cold hosts get their share of what a warm member bears; reads don't wait for cold ones

At fault, both in Logic: anyFresh counted a fresh cold replica without a ticket, so the read was never released to the primary; and drawTickets reckoned a member's part as the txns borne over all ready members, cold ones among them, so the fewer the warm ones, the less the cold ones got (3 in 10 where they could have 5). Ruled out: rule 4 itself (no ticket goes beyond the share of what a warm member bore), room at the primary (it was sent to 0.4 s later with one out), held writes (none in the group).

Change: a replica counts as fresh for the release only where it could take the read; a ticket is drawn with the share of the group's txns that one warm member bore here in the last ten seconds, times the host's present share.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -301,9 +301,10 @@
                 && host.position >= target;
     }
 
+    /** A cold member without a ticket can't take it: waiting for one would hold the read past its time. */
     private boolean anyFresh(Txn txn, long now) {
         long target = target(txn, now);
-        return txn.group.members.stream().anyMatch(host -> fresh(host, target));
+        return txn.group.members.stream().anyMatch(host -> fresh(host, target) && coldAllows(host, now));
     }
 
     private boolean tried(Txn txn, Host host) {
@@ -526,15 +527,22 @@
 
     /**
      * Rule 4: a cold host is sent to on tickets alone. Each txn that comes in for its group draws one with
-     * the chance that a warm member would get it, times the host's present share, times the share of txns
-     * that the hosts have lately borne (what they couldn't is no measure of what they can). Over all
-     * routers, however many and however uneven, that sums to the host's part, with no router counting the
-     * others; a ticket that isn't used within the rule's window lapses, so that waiting txns can't save up
-     * for a burst. Guards against any return of hosts, single or of a whole group; harm: a host is kept
-     * small for the longest time it may need.
+     * the chance that a warm member bears it, times the host's present share: what a warm member bears is
+     * at most what it can, and a cold one can at least its share of that. Over all routers, however many
+     * and however uneven, that sums to the host's part, with no router counting the others; a ticket that
+     * isn't used within the rule's window lapses, so that waiting txns can't save up for a burst. Guards
+     * against any return of hosts, single or of a whole group; harm: a host is kept small for the longest
+     * time it may need, and to what warm ones bear where they have room.
      */
     private void drawTickets(Group group, long now) {
         int ready = group.ready();
+        int warm = (int) group.members.stream().filter(h -> h.state == Host.State.READY && !cold(h, now))
+                .count();
+        // The last ten seconds of the group here, a txn or more a second at a router: what a warm member
+        // bore, or where there is none, what members bore on the average. Without such news, all of it.
+        long since = now - 10_000 * MS;
+        Samples bore = warm > 0 ? group.borneWarm : group.borne;
+        double part = (bore.sumSince(since) + 1.0) / (bore.since(since) + 1) / (warm > 0 ? warm : ready);
         for (Host host : group.members) {
             if (cold(host, now) && host.state == Host.State.READY) {
                 double least = Double.parseDouble(start.getOrDefault("rules.cold_share", "0"));
@@ -543,8 +551,7 @@
                 // Two fifths of the stated multiple leave room for chance and for tickets of two windows.
                 double safe = Math.min(1, 0.4 * Double.parseDouble(
                         start.getOrDefault("rules.fall_multiple", "2")));
-                double borne = fates.size() < 8 ? 1 : Math.max(0.2, fates.mean());
-                if (chance.nextDouble() < safe * share * borne / ready) {
+                if (chance.nextDouble() < safe * share * part) {
                     host.tickets.addLast(now);
                 }
             }
@@ -629,6 +636,13 @@
         return Verdict.waiting();
     }
 
+    /** How a txn ended, at this router and in its group: committed at this host, or not (null). */
+    private void fate(Txn txn, Host committedAt, long now) {
+        fates.add(committedAt != null ? 1 : 0, 0, now);
+        txn.group.borne.add(committedAt != null ? 1 : 0, 0, now);
+        txn.group.borneWarm.add(committedAt != null && !cold(committedAt, now) ? 1 : 0, 0, now);
+    }
+
     private void served(Txn txn, boolean inTime) {
         if (txn.arrived < txn.slaEnd) {
             txn.type.served().add(inTime ? 1 : 0, 0, txn.arrived);
@@ -637,7 +651,7 @@
 
     private Verdict giveUp(Txn txn, long now) {
         served(txn, false);
-        fates.add(0, 0, now);
+        fate(txn, null, now);
         Submission ran = txn.mayHaveRun();
         Effect effect = txn.type.effect();
         if (ran == null || effect == Effect.REPEATABLE
@@ -729,7 +743,7 @@
         if (settled) {
             drop(txn);
             served(txn, outcome == Outcome.COMMITTED && now <= txn.slaEnd);
-            fates.add(outcome == Outcome.COMMITTED ? 1 : 0, 0, now);
+            fate(txn, outcome == Outcome.COMMITTED ? host : null, now);
             return Verdict.done(othersOut(txn));
         }
         return place(txn, now);
@@ -845,7 +859,7 @@
     public Verdict left(Txn txn, long now) {
         drop(txn);
         patience.add((now - txn.arrived) * 1_000 / txn.type.sla(), 0, now);
-        fates.add(0, 0, now);
+        fate(txn, null, now);
         // Work for a client that has gone keeps the next one waiting.
         return Verdict.done(othersOut(txn));
     }
@@ -861,7 +875,7 @@
             return Verdict.waiting();
         }
         served(txn, false);
-        fates.add(0, 0, now);
+        fate(txn, null, now);
         return ran == null || txn.type.effect() == Effect.REPEATABLE ? Verdict.decline(0, List.of())
                 : Verdict.rollBack(List.of());
     }
--- a/src/main/java/beaconladder/fleet/Group.java
+++ b/src/main/java/beaconladder/fleet/Group.java
@@ -24,7 +24,10 @@
     public boolean changed;
     /** Newest commit among the sessions that are no longer remembered one by one. */
     public long forgotten = Long.MIN_VALUE;
-    /** Times of recent answers from all members. */
+    /** How this router's recent txns of the group ended: 1 for a commit; 1 for a commit at a warm member. */
+    public final Samples borne = new Samples(32);
+    public final Samples borneWarm = new Samples(32);
+        /** Times of recent answers from all members. */
     public final Samples times = new Samples(48);
 
     public Group(int number) {
--- a/src/test/java/beaconladder/LogicTest.java
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -203,6 +203,36 @@
                 """);
     }
 
+    /**
+     * Seen at full size when six in ten hosts were replaced: reads waited for cold replicas without tickets
+     * and were declined while the warm primary had room, and cold hosts got a third of what they could, as
+     * the part of a member was reckoned over all members, cold ones too, and over the txns declined so.
+     */
+    @Test
+    void aColdHostGetsItsShareOfWhatAWarmMemberBears() {
+        Script s = Script.warm("rules.cold_share=0.5", "rules.warm_within_us=600000000",
+                "rules.fall_multiple=3").tick(10).list("b", false, Host.State.READY, 10)
+                .list("c", false, Host.State.READY, 10).tick(20)
+                .probed("b", Role.REPLICA, 20).probed("c", Role.REPLICA, 20).quiet();
+        int cold = 0;
+        long t = 20;
+        for (int i = 1; i <= 200; i++) {
+            t += 50;
+            s.tick(t).probed("b", Role.REPLICA, t).probed("c", Role.REPLICA, t).ask(i, ANY, 0, 2000);
+            while (!s.trace().contains("send " + i + " ") && !s.trace().contains("decline " + i)) {
+                s.tick(++t);
+            }
+            boolean sent = s.trace().contains("send " + i + " ");
+            cold += sent && !s.trace().contains("send " + i + " to a") ? 1 : 0;
+            if (sent) {
+                s.end(i, Outcome.COMMITTED, Role.REPLICA, t);
+            }
+            s.quiet();
+        }
+        // Each cold replica may have half of what the primary bears: half of the reads, at the most.
+        assertThat(cold).isBetween(85, 115);
+    }
+
     @Test
     void aColdHostIsSentToOnTicketsAlone() {
         Script s = Script.warm().tick(10).list("b", false, Host.State.READY, 10).tick(11)
