One owner of descriptors: accept never meets the limit, a drain drops nobody queued

At fault: accept took whoever came and only then looked for room, and who had been heard of within 100 ms could not be closed; Lines opened without asking; and a closed channel keeps its descriptor until the selector's next look, while the program counted it as free at once. Ruled out: a leak (the count comes back to where it was once the flood is over). At a drain the listener was closed with whoever stood in its queue, which resets them.

Change: Descriptors hands out every one, to clients and hosts, a quarter of the whole kept for each use; clients wait in the listener's queue and txns for a connection until one is given back; a client's is given back after the selector has let go of it. The reader takes in all that are queued right before it closes the listener.

--- a/src/main/java/beaconladder/serve/Clients.java
+++ b/src/main/java/beaconladder/serve/Clients.java
@@ -21,8 +21,6 @@
 /** Takes clients in, within the descriptors there are. */
 final class Clients implements Runnable {
     private static final Logger LOG = LoggerFactory.getLogger(Clients.class);
-    /** Descriptors for the program itself (about 20), the watch, and clients that are only told to go. */
-    private static final int RESERVE = 64;
     private static final int BACKLOG = 1024;
     private static final int SWEEP_MILLIS = 50;
     /** Who was busy so lately may have a query on its way. */
@@ -36,6 +34,7 @@
     private final Room room;
     /** Of it, what the clients of each cell may take for large messages; empty where there are no cells. */
     private final List<Room> rooms;
+    private final Descriptors descriptors;
     private final int most;
     /** Clients hold at most a third of the descriptors for their txns. */
     private final int share;
@@ -45,17 +44,22 @@
     private final Queue<Client> resumed = new ConcurrentLinkedQueue<>();
     private Selector selector;
     private ServerSocketChannel listener;
+    /** Closed since the last selection began: the selector holds their descriptors until the next one. */
+    private int closing;
+    /** Whether clients wait in the listener's queue for a descriptor. */
+    private boolean queued;
     private volatile boolean draining;
-    private volatile boolean closed;
 
-    Clients(Desk desk, Lines lines, Threads threads, Room room, List<Room> rooms, int descriptors) {
+    Clients(Desk desk, Lines lines, Threads threads, Room room, List<Room> rooms, Descriptors descriptors,
+            int stated) {
         this.desk = desk;
         this.lines = lines;
         this.threads = threads;
         this.room = room;
         this.rooms = rooms;
-        this.most = Math.max(1, descriptors - RESERVE);
-        this.share = descriptors / 3;
+        this.descriptors = descriptors;
+        this.most = descriptors.most();
+        this.share = stated / 3;
         this.mostStrangers = Math.max(8, most / 5);
     }
 
@@ -75,7 +79,16 @@
         boolean ends = false;
         while (!draining || !all.isEmpty()) {
             try {
-                selector.select(this::ready, SWEEP_MILLIS);
+                int closed = closing;
+                closing = 0;
+                try {
+                    selector.select(this::ready, SWEEP_MILLIS);
+                } finally {
+                    descriptors.give(Descriptors.Use.CLIENT, closed);
+                }
+                if (queued) {
+                    accept();
+                }
                 for (Client client = resumed.poll(); client != null; client = resumed.poll()) {
                     if (all.contains(client) && client.resume()) {
                         interest(client);
@@ -86,6 +99,7 @@
                 }
                 if (draining && !ends) {
                     ends = true;
+                    close();
                     all.forEach(client -> client.closeIfIdle(Long.MAX_VALUE));
                 }
                 long now = System.nanoTime();
@@ -121,28 +135,50 @@
         }
     }
 
+    /**
+     * Takes in who waits, while there are descriptors: the others stay in the listener's queue, where their
+     * time runs but nothing of theirs is lost.
+     */
     private void accept() {
         try {
-            SocketChannel channel;
-            while (!closed && (channel = listener.accept()) != null) {
+            queued = false;
+            while (listener.isOpen()) {
                 if (all.stream().filter(client -> !client.known()).count() >= mostStrangers) {
                     closeOldest(client -> !client.known());
                 }
-                if (all.size() + lines.open() >= most) {
+                if (descriptors.held() >= most) {
                     makeRoom();
                 }
-                Client client = new Client(this, desk, lines, new Wire.Real(channel));
-                all.add(client);
-                channel.configureBlocking(false);
-                channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-                channel.register(selector, SelectionKey.OP_READ, client);
+                queued = !descriptors.take(Descriptors.Use.CLIENT);
+                SocketChannel channel = queued ? null : listener.accept();
+                if (channel == null) {
+                    descriptors.give(Descriptors.Use.CLIENT, queued ? 0 : 1);
+                    break;
+                }
+                take(channel);
             }
-        } catch (IOException e) {
-            if (!closed) {
-                LOG.error("taking clients in goes on after a fault", e);
-                makeRoom();
-                pause();
+            SelectionKey key = listener.keyFor(selector);
+            if (key != null && key.isValid()) {
+                key.interestOps(queued ? 0 : SelectionKey.OP_ACCEPT);
             }
+        } catch (IOException e) {
+            descriptors.give(Descriptors.Use.CLIENT, 1);
+            LOG.error("taking clients in goes on after a fault", e);
+            makeRoom();
+            pause();
+        }
+    }
+
+    private void take(SocketChannel channel) {
+        Client client = new Client(this, desk, lines, new Wire.Real(channel));
+        all.add(client);
+        try {
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            channel.register(selector, SelectionKey.OP_READ, client);
+        } catch (IOException e) {
+            LOG.debug("a client's connection broke: {}", e.toString());
+            client.leave();
         }
     }
 
@@ -184,12 +220,8 @@
     /** Whether a client that has just come can't be kept. */
     boolean full() {
         int held = all.size() + lines.open();
-        if (held <= most) {
-            return false;
-        }
-        // Those who have been told to go still hold theirs for a moment, out of half of the reserve.
-        long ending = all.stream().filter(Client::ending).count();
-        return held > most + RESERVE / 2 || held - ending > most;
+        // Those who have been told to go still hold theirs for a moment, beside those that are served.
+        return held > most && held - all.stream().filter(Client::ending).count() > most;
     }
 
     private void sweep(long now) {
@@ -232,8 +264,11 @@
         return true;
     }
 
+    /** For the reader alone, once the client's connection is closed. */
     void gone(Client client) {
-        all.remove(client);
+        if (all.remove(client)) {
+            closing++;
+        }
     }
 
     boolean draining() {
@@ -242,13 +277,17 @@
 
     /** Takes no more clients in, and ends each connection once nothing is in hand on it. */
     void drain() {
-        closed = true;
         draining = true;
+        selector.wakeup();
+    }
+
+    /** Closes the listener, with all taken in that stand in its queue: a close would reset them. */
+    private void close() {
+        accept();
         try {
             listener.close();
         } catch (IOException e) {
             LOG.warn("the listener: {}", e.toString());
         }
-        selector.wakeup();
     }
 }
--- a/src/main/java/beaconladder/serve/Lines.java
+++ b/src/main/java/beaconladder/serve/Lines.java
@@ -19,7 +19,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /** The connections to hosts: those in use, a thread each, and those that wait for the next use. */
 final class Lines implements Desk.Errands {
@@ -36,10 +35,12 @@
     private final Opener opener;
     private final Map<Host, Deque<Line>> idle = new HashMap<>();
     private final Set<Call> calls = ConcurrentHashMap.newKeySet();
-    private final AtomicInteger open = new AtomicInteger();
+    private final Descriptors descriptors;
 
-    Lines(Desk desk, Map<String, String> start, Executor threads, Room room, Opener opener) {
+    Lines(Desk desk, Map<String, String> start, Executor threads, Room room, Descriptors descriptors,
+            Opener opener) {
         this.desk = desk;
+        this.descriptors = descriptors;
         this.opener = opener;
         this.cancels = "true".equals(start.get("limits.cancel"));
         this.room = room;
@@ -57,7 +58,7 @@
 
     /** Descriptors held. */
     int open() {
-        return open.get();
+        return descriptors.held(Descriptors.Use.HOST);
     }
 
     /** A use of a connection, which can be called off. */
@@ -121,10 +122,16 @@
                 Line next = takeIdle(host);
                 boolean fresh = next == null;
                 if (fresh) {
+                    boolean taken = descriptors.take(Descriptors.Use.HOST)
+                            || closeOldest() && descriptors.take(Descriptors.Use.HOST)
+                            || descriptors.take(Descriptors.Use.HOST, until);
+                    if (!taken) {
+                        return false;
+                    }
                     try {
                         next = opener.line(address, room);
-                        open.incrementAndGet();
                     } catch (IOException e) {
+                        descriptors.give(Descriptors.Use.HOST, 1);
                         return false;
                     }
                 }
@@ -278,6 +285,6 @@
 
     private void close(Line line) {
         line.release();
-        open.decrementAndGet();
+        descriptors.give(Descriptors.Use.HOST, 1);
     }
 }
--- a/src/main/java/beaconladder/serve/Serve.java
+++ b/src/main/java/beaconladder/serve/Serve.java
@@ -60,11 +60,12 @@
         Territory territory = plan == null ? null : territory(plan);
         desk = new Desk(stated.seed(), stated.start(), territory == null ? null : new Gate(stated.name(),
                 territory, Gate.Room.of(threads.most(), stated.descriptors() / 3, bytes)));
-        lines = new Lines(desk, stated.start(), threads, room, Line::new);
+        Descriptors descriptors = new Descriptors(stated.descriptors());
+        lines = new Lines(desk, stated.start(), threads, room, descriptors, Line::new);
         desk.errands(lines);
         clients = new Clients(desk, lines, threads, room, territory == null ? List.of()
                 : territory.plan().cells().stream().map(cell -> new Room((long) (cell.share() * bytes), room))
-                .toList(), stated.descriptors());
+                .toList(), descriptors, stated.descriptors());
         watch = new Watch(stated.discovery(), desk);
         if (!stated.known().isEmpty()) {
             desk.listed(true, stated.known());
--- a/src/main/java/beaconladder/serve/WarmUp.java
+++ b/src/main/java/beaconladder/serve/WarmUp.java
@@ -32,14 +32,16 @@
         Desk desk = new Desk(1, stated.start(), null);
         InetSocketAddress nowhere = new InetSocketAddress("127.0.0.1", 1);
         InetSocketAddress primary = new InetSocketAddress("127.0.0.1", 2);
-        Lines lines = new Lines(desk, stated.start(), threads, room, (address, of) -> new Line(address, of,
+        Descriptors descriptors = new Descriptors(stated.descriptors());
+        Lines lines = new Lines(desk, stated.start(), threads, room, descriptors, (address, of) -> new Line(address, of,
                 new Tape(new byte[0], written -> host(written, address.equals(primary)))));
         desk.errands(lines);
         desk.listed(true, List.of(
                 new Watch.Entry("a", primary, "", 0, Watch.State.READY, true, 0),
                 new Watch.Entry("b", nowhere, "", 0, Watch.State.READY, false, 0),
                 new Watch.Entry("c", nowhere, "", 0, Watch.State.READY, false, 0)));
-        Clients clients = new Clients(desk, lines, threads, room, List.of(), stated.descriptors());
+        Clients clients = new Clients(desk, lines, threads, room, List.of(), descriptors,
+                stated.descriptors());
         List<String> types = new ArrayList<>();
         for (String name; (name = stated.start().get("request_classes." + types.size() + ".name")) != null;) {
             types.add(name);
--- /dev/null
+++ b/src/test/java/beaconladder/serve/DescriptorsTest.java
@@ -0,0 +1,68 @@
+package beaconladder.serve;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beaconladder.serve.Descriptors.Use;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class DescriptorsTest {
+    @Test
+    void neitherUseCanLockTheOtherOutAndTheProgramsOwnStayFree() {
+        Descriptors of = new Descriptors(128);
+        StringBuilder trace = new StringBuilder();
+        trace.append(of.most()).append(' ').append(takeAll(of, Use.CLIENT)).append(' ')
+                .append(takeAll(of, Use.HOST)).append(' ').append(of.take(Use.CLIENT));
+        of.give(Use.CLIENT, 72);
+        trace.append(' ').append(takeAll(of, Use.HOST)).append(' ').append(takeAll(of, Use.CLIENT));
+        assertThat(trace.toString()).isEqualTo("64 72 24 false 48 24");
+    }
+
+    @Test
+    void overAnyHistoryNoMoreAreHeldThanThereAreAndEachUseGetsItsPart() {
+        SplittableRandom chance = new SplittableRandom(7);
+        for (int stated : new int[] {1, 40, 64, 76, 128, 256, 1024}) {
+            Descriptors of = new Descriptors(stated);
+            int whole = Math.max(4, stated - 32);
+            for (int i = 0; i < 20_000; i++) {
+                Use use = Use.values()[chance.nextInt(2)];
+                if (chance.nextInt(3) > 0) {
+                    boolean due = of.held(use) < whole / 4;
+                    assertThat(of.take(use) || !due).as("%s has its part of %d", use, stated).isTrue();
+                } else {
+                    of.give(use, chance.nextInt(Math.min(4, of.held(use)) + 1));
+                }
+                assertThat(of.held()).isLessThanOrEqualTo(whole);
+                assertThat(of.held(use)).isNotNegative();
+            }
+        }
+    }
+
+    @Test
+    void whoWaitsGetsOneThatIsGivenBackAndNoneAfterItsTime() throws Exception {
+        Descriptors of = new Descriptors(36);
+        takeAll(of, Use.HOST);
+        long from = System.nanoTime();
+        assertThat(of.take(Use.HOST, from + 60_000_000)).isFalse();
+        assertThat(System.nanoTime() - from).isBetween(50_000_000L, 2_000_000_000L);
+        Thread giver = new Thread(() -> {
+            try {
+                Thread.sleep(50);
+            } catch (InterruptedException e) {
+                return;
+            }
+            of.give(Use.HOST, 1);
+        });
+        giver.start();
+        assertThat(of.take(Use.HOST, System.nanoTime() + 10_000_000_000L)).isTrue();
+        giver.join();
+    }
+
+    private static int takeAll(Descriptors of, Use use) {
+        int n = 0;
+        while (of.take(use)) {
+            n++;
+        }
+        return n;
+    }
+}
