An accept that fails is tried again, also where the listener was not watched

Seen when jars were added for something else: 35 descriptors of the program's own where 32 are kept, 'Too many open files' once in Clients.accept, and no client taken in for the rest of the run (2,278 reads timed out). At fault: accept() forgot that clients were queued before it failed, with the listener's interest still off. Ruled out: descriptors that leaked (35 open while it stood still).

--- a/src/main/java/beaconladder/serve/Clients.java
+++ b/src/main/java/beaconladder/serve/Clients.java
@@ -163,6 +163,8 @@
             }
         } catch (IOException e) {
             descriptors.give(Descriptors.Use.CLIENT, 1);
+            // Looked for again at the next pass: the listener may not be watched now.
+            queued = listener.isOpen();
             LOG.error("taking clients in goes on after a fault", e);
             makeRoom();
             pause();
