Leases on a consensus engine and members of the fleet, off in run

Need: tasks that one process of the fleet does at a time, with two holders acting at once as the failure to rule out, also for a holder that is stopped, cut off, or has a wrong clock.

Added: lease (pure: the holder's machine, the grantor as a state machine, a fence at what is acted on), members (pure: SWIM with Lifeguard's refinements), grant (the grantor on Apache Ratis, its door, a holder's loop), gossip (members on datagrams), settings in the plan, lease grant|status|hand-over, members, lab lease with a relay between every two processes.

--- a/src/main/java/beaconladder/app/LabCommand.java
+++ b/src/main/java/beaconladder/app/LabCommand.java
@@ -5,11 +5,17 @@
 import beaconladder.lab.CellsRehearsal.Fault;
 import beaconladder.lab.CellsRehearsal.Size;
 import beaconladder.lab.Demo;
+import beaconladder.lab.LeaseHolder;
+import beaconladder.lab.LeaseRehearsal;
+import beaconladder.plan.Plan;
+import beaconladder.roster.Watch;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Collectors;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
@@ -75,4 +81,38 @@
         return new CellsRehearsal(small ? Size.SMALL : Size.FULL, seed, spec.commandLine().getOut())
                 .play(from, !noFlood) ? 0 : 1;
     }
+
+    @Command(name = "lease", mixinStandardHelpOptions = true,
+            description = "Leases: grantors and holders that are stopped, killed, cut off and misled.")
+    int lease(@Option(names = "--seed", defaultValue = "1",
+            description = "Same seed, same script.") long seed,
+            @Option(names = "--count", defaultValue = "4", description = "How many faults.") int count,
+            @Option(names = "--faults", split = ",", paramLabel = "FAULT",
+                    description = "Draw from these only.")
+            List<LeaseRehearsal.Fault> faults,
+            @Option(names = "--list", description = "Name the faults.") boolean list)
+            throws IOException, InterruptedException {
+        if (list) {
+            spec.commandLine().getOut().println(Arrays.stream(LeaseRehearsal.Fault.values())
+                    .map(f -> f.name().toLowerCase(java.util.Locale.ROOT)).collect(Collectors.joining("\n")));
+            return 0;
+        }
+        return new LeaseRehearsal(seed, spec.commandLine().getOut())
+                .play(faults == null ? List.of(LeaseRehearsal.Fault.values()) : faults, count) ? 0 : 1;
+    }
+
+    /** A process of the rehearsal of leases. */
+    @Command(name = "holder", hidden = true)
+    int holder(@Mixin CheckCommand.PlanOption file, @Option(names = "--name", required = true) String name,
+            @Option(names = "--task", required = true) String task,
+            @Option(names = "--resources", split = ",", required = true) List<String> resources,
+            @Option(names = "--clock") Path clock, @Option(names = "--gossip") String gossip)
+            throws IOException, InterruptedException {
+        Plan plan = CheckCommand.plan(file.file(), spec.commandLine());
+        if (plan == null || plan.leases() == null) {
+            return 1;
+        }
+        LeaseHolder.run(plan, name, task, resources.stream().map(Watch::address).toList(), clock, gossip);
+        return 0;
+    }
 }
--- /dev/null
+++ b/src/main/java/beaconladder/grant/GrantLog.java
@@ -0,0 +1,130 @@
+package beaconladder.grant;
+
+import beaconladder.lease.Ask;
+import beaconladder.lease.Grants;
+import java.io.File;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import org.apache.ratis.io.MD5Hash;
+import org.apache.ratis.proto.RaftProtos.LogEntryProto;
+import org.apache.ratis.proto.RaftProtos.RaftPeerRole;
+import org.apache.ratis.protocol.Message;
+import org.apache.ratis.protocol.RaftClientRequest;
+import org.apache.ratis.protocol.RaftGroupId;
+import org.apache.ratis.server.RaftServer;
+import org.apache.ratis.server.protocol.TermIndex;
+import org.apache.ratis.server.storage.FileInfo;
+import org.apache.ratis.server.storage.RaftStorage;
+import org.apache.ratis.statemachine.StateMachineStorage;
+import org.apache.ratis.statemachine.TransactionContext;
+import org.apache.ratis.statemachine.impl.BaseStateMachine;
+import org.apache.ratis.statemachine.impl.SimpleStateMachineStorage;
+import org.apache.ratis.statemachine.impl.SingleFileSnapshotInfo;
+import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
+import org.apache.ratis.util.MD5FileUtil;
+
+/**
+ * {@link Grants} under Apache Ratis: the leader stamps each ask with its clock, all replicas apply it
+ * alike.
+ */
+final class GrantLog extends BaseStateMachine {
+    private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
+    private final LongSupplier clock;
+    private final long bound;
+    private Grants grants = Grants.none();
+
+    GrantLog(LongSupplier clock, long bound) {
+        this.clock = clock;
+        this.bound = bound;
+    }
+
+    @Override
+    public void initialize(RaftServer server, RaftGroupId group, RaftStorage of) throws IOException {
+        super.initialize(server, group, of);
+        storage.init(of);
+        load();
+    }
+
+    /** Its leader sent a snapshot. */
+    @Override
+    public void reinitialize() throws IOException {
+        load();
+    }
+
+    @Override
+    public StateMachineStorage getStateMachineStorage() {
+        return storage;
+    }
+
+    /** On the leader alone. What can't be read never gets into the log. */
+    @Override
+    public TransactionContext startTransaction(RaftClientRequest request) throws IOException {
+        Ask ask = GrantText.ask(request.getMessage().getContent().toStringUtf8());
+        String entry = GrantText.text(new GrantText.Entry(ask, clock.getAsLong(), bound));
+        return TransactionContext.newBuilder().setStateMachine(this).setClientRequest(request)
+                .setServerRole(RaftPeerRole.LEADER).setLogData(ByteString.copyFromUtf8(entry)).build();
+    }
+
+    @Override
+    public CompletableFuture<Message> applyTransaction(TransactionContext transaction) {
+        LogEntryProto logged = transaction.getLogEntry();
+        try {
+            GrantText.Entry entry = GrantText.read(logged.getStateMachineLogEntry()
+                    .getLogData().toStringUtf8(),
+                    GrantText.Entry.class);
+            synchronized (this) {
+                Grants.Applied applied = grants.apply(entry.ask(), entry.stamp(), entry.bound());
+                grants = applied.next();
+                updateLastAppliedTermIndex(logged.getTerm(), logged.getIndex());
+                return CompletableFuture.completedFuture(Message.valueOf(GrantText.text(applied.answer())));
+            }
+        } catch (IOException | RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    @Override
+    public synchronized CompletableFuture<Message> query(Message asked) {
+        return CompletableFuture.completedFuture(Message.valueOf(GrantText.text(grants)));
+    }
+
+    @Override
+    public long takeSnapshot() throws IOException {
+        TermIndex last;
+        String text;
+        synchronized (this) {
+            last = getLastAppliedTermIndex();
+            text = GrantText.text(grants);
+        }
+        if (last == null || last.getIndex() < 0) {
+            return -1;
+        }
+        File file = storage.getSnapshotFile(last.getTerm(), last.getIndex());
+        Path beside = file.toPath().resolveSibling(file.getName() + ".part");
+        Files.writeString(beside, text, StandardCharsets.UTF_8);
+        Files.move(beside, file.toPath(), StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
+        MD5Hash hash = MD5FileUtil.computeAndSaveMd5ForFile(file);
+        storage.updateLatestSnapshot(new SingleFileSnapshotInfo(new FileInfo(file.toPath(), hash), last));
+        return last.getIndex();
+    }
+
+    private synchronized void load() throws IOException {
+        SingleFileSnapshotInfo info = storage.loadLatestSnapshot();
+        if (info == null) {
+            return;
+        }
+        File file = info.getFile().getPath().toFile();
+        MD5Hash hash = info.getFile().getFileDigest();
+        if (hash != null) {
+            MD5FileUtil.verifySavedMD5(file, hash);
+        }
+        grants = GrantText.grants(Files.readString(file.toPath(), StandardCharsets.UTF_8));
+        setLastAppliedTermIndex(SimpleStateMachineStorage.getTermIndexFromSnapshotFile(file));
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/grant/WallClock.java
@@ -0,0 +1,43 @@
+package beaconladder.grant;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.function.LongSupplier;
+
+/**
+ * Unix time in nanoseconds; in a rehearsal off by what a file says, so that clocks can be set apart on
+ * one machine.
+ */
+public final class WallClock implements LongSupplier {
+    private static final long READ_NANOS = 10_000_000;
+
+    private final Path offsetMillis;
+    private long read = System.nanoTime() - READ_NANOS;
+    private long offset;
+
+    /** The machine's own. */
+    public WallClock() {
+        this(null);
+    }
+
+    /** One that is off by the milliseconds that this file holds; null for none. */
+    public WallClock(Path offsetMillis) {
+        this.offsetMillis = offsetMillis;
+    }
+
+    @Override
+    public synchronized long getAsLong() {
+        if (offsetMillis != null && System.nanoTime() - read >= READ_NANOS) {
+            read = System.nanoTime();
+            try {
+                offset = Long.parseLong(Files.readString(offsetMillis).strip()) * 1_000_000;
+            } catch (IOException | NumberFormatException e) {
+                // Half written: the offset stays as it was until the next look.
+            }
+        }
+        Instant now = Instant.now();
+        return now.getEpochSecond() * 1_000_000_000L + now.getNano() + offset;
+    }
+}
--- a/src/main/java/beaconladder/lab/Programs.java
+++ b/src/main/java/beaconladder/lab/Programs.java
@@ -76,9 +76,15 @@
 
     /** A program that is not yet started; its config may be null. */
     Program program(String name, String config, String... arguments) throws IOException {
+        return program(name, config, List.of(), arguments);
+    }
+
+    /** One whose JVM gets more flags. */
+    Program program(String name, String config, List<String> flags, String... arguments) throws IOException {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(FLAGS);
+        command.addAll(flags);
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "beaconladder.app.Main"));
         command.addAll(List.of(arguments));
         String file = null;
--- a/src/main/java/beaconladder/plan/Plan.java
+++ b/src/main/java/beaconladder/plan/Plan.java
@@ -15,9 +15,10 @@
  *                serves all
  * @param keeper  who decides on moves and grants leases, or null: then all live where the file says
  * @param moves   what is to be moved
+ * @param leases  who grants leases for tasks of the fleet, or null
  */
 public record Plan(String file, List<Cell> cells, List<Tenant> tenants, Others others,
-        Map<String, List<String>> serves, Keeper keeper, List<Relocation> moves) {
+        Map<String, List<String>> serves, Keeper keeper, List<Relocation> moves, Leases leases) {
 
     /**
      * A named set of groups (discovery calls a group a "cell").
@@ -67,6 +68,37 @@
             long expiry, long copy, long fence) {
     }
 
+    /**
+     * Leases for tasks that one process of the fleet does at a time.
+     *
+     * @param length   how long one is granted for, in nanoseconds
+     * @param bound    how far any clock of the fleet may be from the true time, in nanoseconds
+     * @param disk     what a grantor may take of its disk, in bytes
+     * @param grantors three or five processes that decide together
+     */
+    public record Leases(long length, long bound, long disk, List<Grantor> grantors) {
+        /** Where the fleet's membership begins: the grantors that take part in it. */
+        public List<String> seeds() {
+            return grantors.stream().map(Grantor::gossip).filter(java.util.Objects::nonNull).toList();
+        }
+
+        /** The grantor of this name, or null. */
+        public Grantor grantor(String name) {
+            return grantors.stream().filter(each -> each.name().equals(name)).findFirst().orElse(null);
+        }
+    }
+
+    /**
+     * One that grants leases.
+     *
+     * @param raft   host and port at which the others reach it
+     * @param at     where it answers those who ask
+     * @param store  the folder of its log
+     * @param gossip host and port at which it takes part in the fleet's membership, or null
+     */
+    public record Grantor(String name, String raft, InetSocketAddress at, String store, String gossip) {
+    }
+
     /** A tenant is to live in another cell. */
     public record Relocation(String tenant, String to) {
     }
--- a/src/main/java/beaconladder/plan/PlanReader.java
+++ b/src/main/java/beaconladder/plan/PlanReader.java
@@ -24,6 +24,7 @@
     private static final long LONGEST = 16 << 20;
     private static final Pattern MEASURE = Pattern.compile("([0-9]+(?:\\.[0-9]+)?)([a-zA-Z%/]*)");
     private static final Map<String, Double> TIMES = Map.of("ms", 1e6, "s", 1e9, "min", 60e9, "h", 3600e9);
+    private static final Map<String, Double> SIZES = Map.of("MB", 0x1p20, "GB", 0x1p30);
     private static final long MS = 1_000_000;
 
     /** The plan, or null and what is wrong. */
@@ -41,6 +42,8 @@
     private final Set<String> unshared = new HashSet<>();
     private Plan.Others others;
     private Plan.Keeper keeper;
+    private Plan.Leases leases;
+    private final List<Plan.Grantor> grantors = new ArrayList<>();
 
     private PlanReader(String file) {
         this.file = file;
@@ -68,10 +71,13 @@
         if (reader.faults.isEmpty()) {
             reader.shares();
             reader.across();
+            reader.grantors();
         }
         Plan plan = reader.faults.isEmpty() ? new Plan(file, List.copyOf(reader.cells),
                 List.copyOf(reader.tenants), reader.others, Map.copyOf(reader.serves), reader.keeper,
-                List.copyOf(reader.moves)) : null;
+                List.copyOf(reader.moves), reader.leases == null ? null : new Plan.Leases(
+                        reader.leases.length(), reader.leases.bound(), reader.leases.disk(),
+                        List.copyOf(reader.grantors))) : null;
         return new Result(plan, List.copyOf(reader.faults));
     }
 
@@ -83,9 +89,11 @@
             case "router" -> router(list);
             case "keeper" -> keeper(list);
             case "move" -> move(list);
+            case "leases" -> leases(list);
+            case "grantor" -> grantor(list);
             default -> fault(list,
-                    "a list of cell, tenant, others, router, keeper or move belongs here, not '"
-                    + list.head() + "'");
+                    "a list of cell, tenant, others, router, keeper, move, leases or grantor belongs here,"
+                    + " not '" + list.head() + "'");
         }
     }
 
@@ -254,6 +262,75 @@
                 times.get("fence"));
     }
 
+    private void leases(Node list) {
+        long length = 5_000 * MS;
+        long bound = 100 * MS;
+        long disk = 64 << 20;
+        for (Node item : parts(list, 1, "length", "clock", "disk")) {
+            switch (item.head()) {
+                case "length" -> length = (long) measure(only(item), TIMES, "a time such as 5s");
+                case "clock" -> bound = (long) measure(only(item), TIMES, "a time such as 100ms");
+                default -> disk = (long) measure(only(item), SIZES, "a size such as 64MB");
+            }
+        }
+        if (length < 500 * MS || length > 3_600_000 * MS) {
+            fault(list, "length lies between 500ms and 1h");
+        }
+        if (bound < MS || bound > length / 4) {
+            fault(list, "clock lies between 1ms and a quarter of the length, which it shortens");
+        }
+        if (disk < 1 << 20 || disk > 1L << 40) {
+            fault(list, "disk lies between 1MB and 1TB");
+        }
+        if (leases != null) {
+            fault(list, "leases are stated twice");
+        }
+        places.put("leases", list);
+        leases = new Plan.Leases(length, bound, disk, List.of());
+    }
+
+    private void grantor(Node list) {
+        String name = name(list);
+        String raft = null;
+        InetSocketAddress at = null;
+        String store = null;
+        String gossip = null;
+        for (Node item : parts(list, 2, "raft", "at", "store", "gossip")) {
+            switch (item.head()) {
+                case "raft" -> raft = hostAndPort(only(item));
+                case "gossip" -> gossip = hostAndPort(only(item));
+                case "at" -> at = address(only(item));
+                default -> store = word(only(item));
+            }
+        }
+        if (raft == null || at == null || store == null) {
+            fault(list, "a grantor needs (raft HOST:PORT), (at ADDRESS:PORT) and (store \"FOLDER\")");
+        }
+        if (unique(list, "grantor", name)) {
+            grantors.add(new Plan.Grantor(name, raft, at, store, gossip));
+        }
+    }
+
+    private String hostAndPort(Node node) {
+        String text = word(node);
+        if (!text.matches("[A-Za-z0-9.-]{1,255}:[0-9]{1,5}")
+                || Integer.parseInt(text.substring(text.indexOf(':') + 1)) > 65_535) {
+            fault(node, "a host with a port belongs here, such as 10.0.0.4:7101");
+        }
+        return text;
+    }
+
+    /** An even number of grantors bears no more losses than one fewer, and more than five only costs. */
+    private void grantors() {
+        int n = grantors.size();
+        if (leases == null && n > 0) {
+            fault(places.get("grantor " + grantors.get(0).name()), "grantors need (leases ...)");
+        } else if (leases != null && n != 1 && n != 3 && n != 5) {
+            fault(places.get("leases"), "leases need 3 or 5 grantors, or 1 that bears no loss; here are "
+                    + n);
+        }
+    }
+
     private InetSocketAddress address(Node node) {
         Matcher form = Pattern.compile("([0-9.]+|\\[[0-9a-fA-F:.]+\\]):([0-9]{1,5})").matcher(word(node));
         if (form.matches() && Integer.parseInt(form.group(2)) <= 65_535) {
--- /dev/null
+++ b/src/test/java/beaconladder/grant/GrantTextTest.java
@@ -0,0 +1,39 @@
+package beaconladder.grant;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import beaconladder.lease.Ask;
+import beaconladder.lease.Grants;
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+
+class GrantTextTest {
+    private static final String TAKE = "{\"kind\":\"TAKE\",\"task\":\"t\",\"holder\":\"a#1\",\"number\":1,"
+            + "\"token\":0,\"length\":600,\"heir\":\"\"}";
+
+    @Test
+    void whatIsWrittenIsReadAsTheSame() throws IOException {
+        Ask take = GrantText.ask(TAKE);
+        Grants.Applied applied = Grants.none().apply(take, 1_000, 50);
+        assertThat(GrantText.ask(GrantText.text(take))).isEqualTo(take);
+        assertThat(GrantText.answer(GrantText.text(applied.answer()))).isEqualTo(applied.answer());
+        assertThat(GrantText.grants(GrantText.text(applied.next()))).isEqualTo(applied.next());
+        assertThat(GrantText.grants(GrantText.text(Grants.none()))).isEqualTo(Grants.none());
+    }
+
+    @Test
+    void whatIsNotWholeDoesNotCount() {
+        for (String wrong : new String[] {"", "{}", "[]", "null", "x", TAKE.replace("TAKE", "GRAB"),
+            TAKE.replace("\"t\"", "\"../t\""), TAKE.replace("a#1", "a"), TAKE.replace("a#1", "a#x"),
+            TAKE.replace("600", "0"), TAKE.replace("600", "-1"), TAKE.replace("600", "null"),
+            TAKE.replace("600", "99999999999999999"), TAKE.replace(",\"heir\":\"\"", ""),
+            TAKE.replace("TAKE", "HAND_OVER")}) {
+            assertThatThrownBy(() -> GrantText.ask(wrong)).as(wrong).isInstanceOf(IOException.class);
+        }
+        for (String wrong : new String[] {"", "{}", "null", "{\"clock\":1,\"leases\":null}",
+            "{\"clock\":1,\"leases\":{\"t\":null}}"}) {
+            assertThatThrownBy(() -> GrantText.grants(wrong)).as(wrong).isInstanceOf(IOException.class);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconladder/members/SwimTest.java
@@ -0,0 +1,219 @@
+package beaconladder.members;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beaconladder.members.Member.State;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+
+class SwimTest {
+    private static final long MS = 1_000_000L;
+
+    /** In whatever order, how often and through whom words come, all end with the same. */
+    @Test
+    void wordsOfOneProcessAreInOneOrderWhateverWayTheyCome() {
+        List<Member> words = new ArrayList<>();
+        for (long incarnation = 1; incarnation <= 3; incarnation++) {
+            for (State state : State.values()) {
+                words.add(new Member("a", "x", incarnation, state));
+            }
+        }
+        for (Member a : words) {
+            assertThat(a.over(a)).isFalse();
+            for (Member b : words) {
+                assertThat(a.over(b) ^ b.over(a)).isEqualTo(!a.equals(b));
+                for (Member c : words) {
+                    assertThat(last(last(a, b), c)).isEqualTo(last(a, last(c, b)));
+                }
+            }
+        }
+    }
+
+    private static Member last(Member a, Member b) {
+        return a.over(b) ? a : b;
+    }
+
+    @Test
+    void allFindEachOtherThroughOneSeed() {
+        Fleet fleet = new Fleet(20, 1);
+        fleet.run(15_000);
+        assertThat(fleet.views()).containsOnly(fleet.names());
+    }
+
+    @Test
+    void oneThatDiesIsFoundByAllAndOneThatLeavesIsNeverSuspected() {
+        Fleet fleet = new Fleet(20, 2);
+        fleet.run(15_000);
+        fleet.down.add(7);
+        fleet.run(30_000);
+        Set<String> others = new HashSet<>(fleet.names());
+        others.remove("n7");
+        assertThat(fleet.views()).containsOnly(others);
+        fleet.leave(3);
+        fleet.run(15_000);
+        others.remove("n3");
+        assertThat(fleet.views()).containsOnly(others);
+        assertThat(fleet.all.get(0).member("n3").state()).isEqualTo(State.LEFT);
+    }
+
+    /** A tenth of all messages lost, and nobody is found dead for it. */
+    @Test
+    void lossAloneKillsNobody() {
+        Fleet fleet = new Fleet(20, 3);
+        fleet.run(15_000);
+        fleet.lossPerMille = 100;
+        fleet.run(60_000);
+        assertThat(fleet.deaths).isZero();
+        assertThat(fleet.views()).containsOnly(fleet.names());
+    }
+
+    /**
+     * One that stood still blames itself first: its suspicions last longer, and it comes back under a new
+     * life.
+     */
+    @Test
+    void oneThatStoodStillComesBack() {
+        Fleet fleet = new Fleet(12, 4);
+        fleet.run(15_000);
+        fleet.down.add(5);
+        fleet.run(20_000);
+        fleet.down.remove(5);
+        fleet.run(30_000);
+        assertThat(fleet.views()).containsOnly(fleet.names());
+        assertThat(fleet.all.get(5).member("n5").incarnation()).isGreaterThan(5);
+    }
+
+    /** Two halves that held each other for dead are one again. */
+    @Test
+    void halvesThatWereCutOffFindTogether() {
+        Fleet fleet = new Fleet(12, 5);
+        fleet.run(15_000);
+        fleet.cutAt = 6;
+        fleet.run(60_000);
+        assertThat(fleet.views()).hasSize(2);
+        fleet.cutAt = 0;
+        fleet.run(60_000);
+        assertThat(fleet.views()).containsOnly(fleet.names());
+    }
+
+    /** One that hears nothing while it can speak does not take the others with it. */
+    @Test
+    void oneThatIsDeafFindsFewDead() {
+        Fleet fleet = new Fleet(20, 6);
+        fleet.run(15_000);
+        fleet.deaf = 4;
+        fleet.run(20_000);
+        assertThat(fleet.all.get(4).health()).isGreaterThan(3);
+        fleet.deaf = -1;
+        fleet.run(40_000);
+        assertThat(fleet.views()).containsOnly(fleet.names());
+    }
+
+    @Test
+    void theSameSeedGivesTheSameCourse() {
+        String first = course();
+        assertThat(course()).isEqualTo(first).isNotEmpty();
+    }
+
+    private static String course() {
+        Fleet fleet = new Fleet(8, 9);
+        fleet.lossPerMille = 50;
+        fleet.run(20_000);
+        fleet.down.add(2);
+        fleet.run(20_000);
+        return fleet.all.stream().map(each -> each.view(0).version() + " " + each.view(0).present())
+                .collect(Collectors.joining("\n"));
+    }
+
+    /** Processes and a network between them, on a clock of their own. */
+    private static final class Fleet {
+        private record Due(long at, long order, int to, Message message) {
+        }
+
+        private final List<Swim> all = new ArrayList<>();
+        private final PriorityQueue<Due> network = new PriorityQueue<>(
+                Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+        private final SplittableRandom chance;
+        private final Set<Integer> down = new HashSet<>();
+        private int lossPerMille;
+        private int cutAt;
+        private int deaf = -1;
+        private int deaths;
+        private long now;
+        private long order;
+
+        Fleet(int size, long seed) {
+            chance = new SplittableRandom(seed);
+            for (int i = 0; i < size; i++) {
+                all.add(new Swim("n" + i, String.valueOf(i), i, List.of("0"), chance.nextLong()));
+            }
+        }
+
+        void run(long millis) {
+            long until = now + millis * MS;
+            while (now < until) {
+                now += 5 * MS;
+                while (!network.isEmpty() && network.peek().at() <= now) {
+                    Due due = network.poll();
+                    if (!down.contains(due.to()) && due.to() != deaf) {
+                        send(due.to(), all.get(due.to()).heard(due.message(), now));
+                    }
+                }
+                for (int i = 0; i < all.size(); i++) {
+                    if (!down.contains(i) && all.get(i).wake() <= now) {
+                        long before = dead(i);
+                        send(i, all.get(i).at(now));
+                        deaths += dead(i) > before ? 1 : 0;
+                    }
+                }
+            }
+        }
+
+        private long dead(int i) {
+            return names().stream().map(all.get(i)::member).filter(m -> m != null
+                    && m.state() == State.DEAD).count();
+        }
+
+        void leave(int i) {
+            send(i, all.get(i).leave());
+            down.add(i);
+        }
+
+        private void send(int from, List<Send> sends) {
+            for (Send each : sends) {
+                int to = Integer.parseInt(each.address());
+                boolean cut = cutAt > 0 && from < cutAt != to < cutAt;
+                if (!cut && chance.nextInt(1_000) >= lossPerMille) {
+                    network.add(new Due(now + (1 + chance.nextInt(10)) * MS, order++, to, each.message()));
+                }
+            }
+        }
+
+        Set<String> names() {
+            Set<String> names = new HashSet<>();
+            for (int i = 0; i < all.size(); i++) {
+                names.add("n" + i);
+            }
+            return names;
+        }
+
+        /** The different views of those that run. */
+        Set<Set<String>> views() {
+            Set<Set<String>> views = new HashSet<>();
+            for (int i = 0; i < all.size(); i++) {
+                if (!down.contains(i)) {
+                    views.add(all.get(i).view(now).present().stream().map(Member::name)
+                            .collect(Collectors.toSet()));
+                }
+            }
+            return views;
+        }
+    }
+}
--- a/src/test/java/beaconladder/plan/PlanReaderTest.java
+++ b/src/test/java/beaconladder/plan/PlanReaderTest.java
@@ -41,7 +41,7 @@
         assertThat(faults("(cell \"a (groups 0))")).startsWith("p:1:7: a quoted text that does not end");
         assertThat(faults("cell")).isEqualTo("p:1:1: 'cell' stands where a '(' belongs");
         assertThat(faults("\n (sell a)"))
-                .startsWith("p:2:2: a list of cell, tenant, others, router, keeper or move");
+                .startsWith("p:2:2: a list of cell, tenant, others, router, keeper, move, leases or grantor");
         assertThat(faults("(cell a (group 0))")).isEqualTo("""
                 p:1:9: one of (groups ...) (share ...) belongs here, not 'group'; did you mean 'groups'?
                 p:1:1: a cell needs (groups N ...) with at least one group""");
@@ -84,6 +84,34 @@
                 .startsWith("p:8:13: an address with a port belongs here");
     }
 
+    @Test
+    void leasesAndTheirGrantorsAreCheckedWhole() {
+        String grantor = "(grantor k%d (raft k%d:7101) (at 127.0.0.1:720%d) (store \"s%d\"))\n";
+        String three = grantor.replace("%d", "0") + grantor.replace("%d", "1") + grantor.replace("%d", "2");
+        Plan.Leases leases = PlanReader.read("p", "(leases (length 2s) (clock 50ms) (disk 8MB))\n"
+                + three.replace("(raft k1", "(gossip g1:7301) (raft k1")).plan().leases();
+        assertThat(leases.length()).isEqualTo(2_000_000_000L);
+        assertThat(leases.bound()).isEqualTo(50_000_000L);
+        assertThat(leases.disk()).isEqualTo(8 << 20);
+        assertThat(leases.grantor("k2").raft()).isEqualTo("k2:7101");
+        assertThat(leases.seeds()).containsExactly("g1:7301");
+        assertThat(PlanReader.read("p", "(cell a (groups 0))").plan().leases()).isNull();
+        assertThat(faults(three)).isEqualTo("p:1:1: grantors need (leases ...)");
+        assertThat(faults("(leases)\n" + grantor.replace("%d", "0") + grantor.replace("%d", "1")))
+                .isEqualTo("p:1:1: leases need 3 or 5 grantors, or 1 that bears no loss; here are 2");
+        assertThat(faults("(leases (clock 2s))\n"
+                + three)).startsWith("p:1:1: clock lies between 1ms and a quarter");
+        assertThat(faults("(leases (length 1ms))\n"
+                + three)).startsWith("p:1:1: length lies between 500ms and 1h");
+        assertThat(faults("(leases (disk 8))\n" + three)).contains("'8' has no unit");
+        assertThat(faults("(leases)\n" + three.replace("k1:7101",
+                "k1"))).contains("a host with a port belongs here");
+        assertThat(faults("(leases)\n" + three.replace(" (store \"s1\")", "")))
+                .isEqualTo("p:3:1: a grantor needs (raft HOST:PORT), (at ADDRESS:PORT) and"
+                        + " (store \"FOLDER\")");
+        assertThat(faults("(leases)\n" + three + three)).contains("grantor k0 is stated already, at line 2");
+    }
+
     private static String faults(String text) {
         PlanReader.Result read = PlanReader.read("p", text);
         assertThat(read.plan()).isNull();
