--- a/src/main/java/beaconladder/fleet/Group.java
+++ b/src/main/java/beaconladder/fleet/Group.java
@@ -29,7 +29,7 @@
     /** How this router's recent txns of the group ended: 1 for a commit; 1 for a commit at a warm member. */
     public final Samples borne = new Samples(32);
     public final Samples borneWarm = new Samples(32);
-    /** The txns that came in here lately: 0 for each, and 1 once it needed the primary while that was cold. */
+    /** The txns that came in here lately: 0 for each, 1 once it needed the primary while that was cold. */
     public final Samples comes = new Samples(64);
     /** Times of recent answers from all members. */
     public final Samples times = new Samples(48);
--- a/src/main/java/beaconladder/grant/Grantor.java
+++ b/src/main/java/beaconladder/grant/Grantor.java
@@ -47,8 +47,8 @@
     private static final RaftGroupId GROUP =
             RaftGroupId.valueOf(java.util.UUID.fromString("b7a2c0de-0000-4000-8000-000000000001"));
     /**
-     * A leader is missed after a tenth of a lease, but no sooner than this: with 150 to 300 ms three grantors that
-     * had just started agreed on no leader in 30 s, as their first calls take longer.
+     * A leader is missed after a tenth of a lease, but no sooner than this: with 150 to 300 ms three grantors
+     * that had just started agreed on no leader in 30 s, as their first calls take longer.
      */
     private static final long LEAST_MISSED = 500_000_000L;
     /** A snapshot so often keeps the log short: an ask takes some 400 bytes of it. */
--- a/src/main/java/beaconladder/serve/WarmUp.java
+++ b/src/main/java/beaconladder/serve/WarmUp.java
@@ -33,7 +33,8 @@
         InetSocketAddress nowhere = new InetSocketAddress("127.0.0.1", 1);
         InetSocketAddress primary = new InetSocketAddress("127.0.0.1", 2);
         Descriptors descriptors = new Descriptors(stated.descriptors());
-        Lines lines = new Lines(desk, stated.start(), threads, room, descriptors, (address, of) -> new Line(address, of,
+        Lines lines = new Lines(desk, stated.start(), threads, room, descriptors,
+                (address, of) -> new Line(address, of,
                 new Tape(new byte[0], written -> host(written, address.equals(primary)))));
         desk.errands(lines);
         desk.listed(true, List.of(
--- a/src/test/java/beaconladder/LogicTest.java
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -279,7 +279,7 @@
             s.quiet();
         }
         // A warm replica bears two fifths of the txns and the cold primary may have a fifth of that: one in
-        // twelve, which is two in five of the hundred writes. With tickets of reads, which lapsed, it was none.
+        // twelve, which is two in five of the hundred writes. With tickets that reads drew it was none.
         assertThat(sent).isBetween(30, 55);
     }
 
--- a/src/test/java/beaconladder/serve/ServeIT.java
+++ b/src/test/java/beaconladder/serve/ServeIT.java
@@ -12,7 +12,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HexFormat;
