--- a/src/main/java/beaconladder/app/LeaseCommand.java
+++ b/src/main/java/beaconladder/app/LeaseCommand.java
@@ -44,7 +44,13 @@
         if (plan == null) {
             return 1;
         }
-        Grantor grantor = new Grantor(plan.leases(), name, new WallClock(clock));
+        Grantor grantor;
+        try {
+            grantor = new Grantor(plan.leases(), name, new WallClock(clock));
+        } catch (NoClassDefFoundError e) {
+            throw new IOException("a grantor needs Apache Ratis: start it with -cp "
+                    + "'target/beaconladder.jar:target/grantors/*' beaconladder.app.Main instead of -jar", e);
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(grantor::close));
         new CountDownLatch(1).await();
         return 0;
