--- a/src/main/java/beaconladder/lab/DatagramRelay.java
+++ b/src/main/java/beaconladder/lab/DatagramRelay.java
@@ -27,7 +27,6 @@
         return thread;
     });
     private volatile Weather weather = Weather.FAIR;
-    private volatile boolean cut;
 
     DatagramRelay(InetSocketAddress at, InetSocketAddress to, long seed) throws IOException {
         this.door = new DatagramSocket(at);
@@ -47,14 +46,9 @@
         weather = next;
     }
 
-    /** Whether all are dropped. */
-    void cut(boolean on) {
-        cut = on;
-    }
-
     private void pass(byte[] bytes) throws IOException {
         Weather now = weather;
-        if (cut || chance.nextInt(1_000) < now.drops()) {
+        if (chance.nextInt(1_000) < now.drops()) {
             return;
         }
         int times = chance.nextInt(1_000) < now.doubles() ? 2 : 1;
