--- a/src/main/java/beaconladder/pg/Inbox.java
+++ b/src/main/java/beaconladder/pg/Inbox.java
@@ -6,12 +6,10 @@
 import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
-import java.nio.charset.CharacterCodingException;
-import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
 /** The messages that come in on one connection: one buffer, growing as bytes come, compacted in place. */
-public final class Inbox {
+public final class Inbox extends Message {
 
     /** What became of a wait for a message. */
     public enum Got { MESSAGE, CLOSED, CUT, TIMED_OUT, MALFORMED, NO_ROOM, NOTHING }
@@ -31,15 +29,12 @@
     private int needed;
     /** When the message that is coming in began, or 0. */
     private long begunAt;
-    private byte[] buffer = new byte[USUAL];
     private int from;
     private int to;
-    private char type;
-    private int at;
-    private int end;
 
     /** One that is fed; it waits for nothing. */
     public Inbox(Room room) {
+        super(USUAL);
         this.socket = null;
         this.in = null;
         this.room = room;
@@ -47,6 +42,7 @@
 
     /** One that reads from a socket and waits. */
     public Inbox(Socket socket, Room room) throws IOException {
+        super(USUAL);
         this.socket = socket;
         this.room = room;
         this.in = socket.getInputStream();
@@ -202,115 +198,8 @@
         return to > end;
     }
 
-    public char type() {
-        return type;
-    }
-
-    /** Where the body of the current message begins. */
-    public int at() {
-        return at;
-    }
-
-    /** Where the current message ends. */
-    public int end() {
-        return end;
-    }
-
-    public int int32(int place) {
-        return (buffer[place] & 0xff) << 24 | (buffer[place + 1] & 0xff) << 16
-                | (buffer[place + 2] & 0xff) << 8 | buffer[place + 3] & 0xff;
-    }
-
-    public byte int8(int place) {
-        return buffer[place];
-    }
-
-    /** The text that starts here and ends with a zero byte, or with the message. */
-    public String text(int place) {
-        int zero = place;
-        while (zero < end && buffer[zero] != 0) {
-            zero++;
-        }
-        return new String(buffer, place, zero - place, StandardCharsets.UTF_8);
-    }
-
-    /** Where the text that starts here has ended, its zero byte included. */
-    public int after(int place) {
-        int zero = place;
-        while (zero < end && buffer[zero] != 0) {
-            zero++;
-        }
-        return Math.min(end, zero + 1);
-    }
-
-    /** Whether the current message is this many texts, each with its zero byte, and nothing else. */
-    public boolean texts(int count) {
-        int zeros = 0;
-        for (int i = at; i < end; i++) {
-            zeros += buffer[i] == 0 ? 1 : 0;
-        }
-        return zeros == count && end > at && buffer[end - 1] == 0;
-    }
-
-    /** The text of a message that is one valid UTF-8 text with its zero byte, or null. */
-    public String onlyText() {
-        if (!texts(1)) {
-            return null;
-        }
-        try {
-            return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(buffer, at, end - 1 - at))
-                    .toString();
-        } catch (CharacterCodingException e) {
-            return null;
-        }
-    }
-
-    /** Whether the current message describes rows of one column. */
-    public boolean describesOneColumn() {
-        int named = at + 2;
-        while (named < end && buffer[named] != 0) {
-            named++;
-        }
-        return end - at > 2 && int16(at) == 1 && end == named + 1 + 18;
-    }
-
-    /** Whether the current message is a row of one column, with a value. */
-    public boolean isRowOfOne() {
-        return end - at >= 6 && int16(at) == 1 && int32(at + 2) == end - at - 6;
-    }
-
-    /** Whether the current message is an error, all of its fields whole, with severity and code. */
-    public boolean isError() {
-        int i = at;
-        while (i < end && buffer[i] != 0) {
-            int next = after(i);
-            if (buffer[next - 1] != 0) {
-                return false;
-            }
-            i = next;
-        }
-        String code = errorField('C');
-        return i == end - 1 && errorField('S') != null && code != null && code.length() == 5
-                && code.chars().allMatch(c -> c >= '0' && c <= '9' || c >= 'A' && c <= 'Z');
-    }
-
-    private int int16(int place) {
-        return (buffer[place] & 0xff) << 8 | buffer[place + 1] & 0xff;
-    }
-
     /** The current message as it came, type and length included. */
     public void copyTo(Outbox out) {
         out.raw(buffer, from, end - from);
     }
-
-    /** A field of the current ErrorResponse, or null. */
-    public String errorField(char name) {
-        for (int i = at; i < end && buffer[i] != 0;) {
-            if (buffer[i] == name) {
-                return text(i + 1);
-            }
-            i = after(i);
-        }
-        return null;
-    }
 }
