The module in files of one job each: targets, choice, room, times, cold ramp, record

This only moves: choice of host (Choice, HostRoom), targets (Targets), moments (Times), health (Health), cold hosts (ColdRamp), probes (Probing, Worth), what is known of hosts (HostRecord), ends (Ends); Logic keeps the interface and the order of things. Samples and settings without a figure of ours went to fleet.Traffic.

--- /dev/null
+++ b/src/main/java/beaconladder/HostRecord.java
@@ -0,0 +1,164 @@
+package beaconladder;
+
+import static beaconladder.fleet.Traffic.MS;
+import static beaconladder.fleet.Traffic.UNBOUND;
+
+import beaconladder.api.Router.Outcome;
+import beaconladder.api.Router.Role;
+import beaconladder.api.Router.Word;
+import beaconladder.fleet.Group;
+import beaconladder.fleet.Host;
+import beaconladder.fleet.Submission;
+import beaconladder.fleet.Traffic;
+import beaconladder.fleet.Txn;
+import beaconladder.fleet.TxnType.Read;
+import java.util.Set;
+
+/** What is known of positions, roles and states. */
+record HostRecord(Traffic traffic, Health health, Targets targets, Set<Group> groups, Set<Host> idle) {
+    private void hear(Host host, Word word, boolean direct, long now) {
+        Group group = host.group;
+        if (word.position() != Word.NONE || word.holds() >= 0) {
+            host.saidAt = now;
+            host.holds = word.holds() >= 0 ? word.holds() : host.holds;
+        }
+        if (word.position() != Word.NONE && (direct || word.position() > host.position)) {
+            host.lag = now - word.position();
+        }
+        if (word.position() > host.position) {
+            host.position = word.position();
+            group.changed = true;
+        }
+        long stamp = word.position() == Word.NONE ? now : word.position();
+        if (word.role() == Role.PRIMARY && stamp >= group.primaryAt) {
+            group.primaryAt = stamp;
+            group.foundAt = group.primary == host ? group.foundAt : now;
+            group.primary = host;
+        } else if (word.role() == Role.REPLICA && group.primary == host
+                && (direct || stamp > group.primaryAt)) {
+            group.lose(now);
+        }
+    }
+
+    void probed(Host host, Outcome outcome, Word report, long now) {
+        host.probeOut = false;
+        host.group.changed = true;
+        if (outcome == Outcome.COMMITTED) {
+            // What was held against a host that could not be reached is settled by reaching it; silence is
+            // not.
+            if (!host.met) {
+                host.ends.clear();
+            }
+            host.met = true;
+            hear(host, report, false, now);
+            host.saidAt = now;
+            if (report.role() == Role.REPLICA && report.position() != Word.NONE) {
+                traffic.stale.add(now - report.position(), 0, now);
+            }
+        } else {
+            host.ends.add(0, 0, now);
+        }
+    }
+
+    void listed(Host host, boolean leader, Host.State state, long launched, long now) {
+        Group group = host.group;
+        group.changed = true;
+        if (!group.members.contains(host)) {
+            groups.add(group);
+            group.members.add(host);
+            host.launched = launched;
+        } else if (launched > host.launched) {
+            // A restart: what was known of its health and role is void; positions stay true.
+            host.launched = launched;
+            host.met = false;
+            host.ends.clear();
+            host.times.clear();
+            if (group.primary == host) {
+                group.lose(now);
+            }
+        }
+        host.state = state;
+        if (leader && group.namedByRoster != host) {
+            group.namedByRoster = host;
+            if (group.primary == null || group.primary.state != Host.State.READY
+                    || health.doubtful(group.primary, now)) {
+                group.foundAt = now;
+                group.primary = host;
+            }
+        }
+    }
+
+    /** Rule 3 binds by what is listed, so a gone host is kept for the sake of its submissions alone. */
+    boolean forget(Host host, long now) {
+        host.abandoned.removeIf(old -> now > old.txn.expiry);
+        if (!host.out.isEmpty() || !host.abandoned.isEmpty() || host.probeOut) {
+            return false;
+        }
+        idle.remove(host);
+        host.group.remove(host);
+        if (host.group.primary == host) {
+            host.group.lose(now);
+        }
+        return true;
+    }
+
+    /** A submission has ended: what that tells of its host, and of the writes of its session. */
+    void ended(Submission s, Outcome outcome, Word answer, Word report, long now) {
+        Host host = s.host;
+        s.ended = true;
+        s.neverRan = outcome.provesNotRun();
+        host.out.remove(s);
+        host.group.changed = true;
+        if (host.out.isEmpty() && host.times.since(now - 10_000 * MS) < 3) {
+            idle.add(host);
+        }
+        if (outcome.fromHost()) {
+            host.met = true;
+            host.lastHeard = now;
+            host.ends.add(1, 0, now);
+            // Answers come about in the order of the sends: what was abandoned before this send is done with.
+            host.abandoned.removeIf(old -> old.sent < s.sent);
+            if (outcome == Outcome.COMMITTED) {
+                host.times.add(now - s.sent, s.beside, now);
+                host.group.times.add(now - s.sent, s.beside, now);
+                health.learn(s, now);
+            } else if (outcome == Outcome.FULL) {
+                host.fullAt = now;
+            }
+        } else if (outcome == Outcome.TIMED_OUT || outcome == Outcome.RESET
+                || outcome == Outcome.UNREACHABLE) {
+            if (host.lastHeard < s.sent) {
+                host.ends.add(0, 0, now);
+            }
+            host.met &= outcome != Outcome.UNREACHABLE;
+            if (outcome == Outcome.TIMED_OUT) {
+                host.times.add(now - s.sent, s.beside, now);
+                // At a host far more crowded than usual a time-out tells of the crowd; elsewhere of the host.
+                if (s.holds > 2 * traffic.paces.meanBeside(UNBOUND) + 2) {
+                    health.learn(s, now);
+                }
+            }
+        }
+        if (outcome == Outcome.TIMED_OUT || outcome == Outcome.CANCELLED) {
+            host.abandoned.add(s);
+        }
+        if (outcome != Outcome.CANCELLED && outcome != Outcome.MOOT) {
+            // A host that fails at once looks idle and quick; errors all over weigh as lost answers do.
+            int well = outcome == Outcome.COMMITTED && now - s.sent <= s.txn.type.sla()
+                    || outcome == Outcome.MISS ? 1 : 0;
+            if (host.marks.sumSince(now - 20_000 * MS) > 0) {
+                traffic.mixed.add(1 - well, 0, now);
+            }
+            host.marks.add(well, 0, now);
+        }
+        hear(host, answer, true, now);
+        hear(host, report, false, now);
+        Txn txn = s.txn;
+        if (outcome == Outcome.MISS && txn.type.read() == Read.WRITE && host.group.primary == host) {
+            host.group.lose(now);
+        }
+        if (outcome == Outcome.COMMITTED && txn.type.read() == Read.WRITE) {
+            targets.remember(txn, answer.position() == Word.NONE ? now : answer.position());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/Probing.java
@@ -0,0 +1,133 @@
+package beaconladder;
+
+import static beaconladder.fleet.Traffic.MS;
+import static beaconladder.fleet.Traffic.NEVER;
+import static beaconladder.fleet.Traffic.UNBOUND;
+
+import beaconladder.fleet.Group;
+import beaconladder.fleet.Host;
+import beaconladder.fleet.Traffic;
+import beaconladder.fleet.Txn;
+import beaconladder.fleet.TxnType.Read;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/** Which members are asked for the sake of held txns, and when. */
+final class Probing {
+    private final Traffic traffic;
+    private final Health health;
+    private final Targets targets;
+    private final Choice choice;
+    private final Worth worth;
+    private final Set<Group> groups;
+    private final SplittableRandom chance;
+    long probeLook = NEVER;
+
+    Probing(Traffic traffic, Health health, Targets targets, Choice choice, Worth worth,
+            Set<Group> groups, SplittableRandom chance) {
+        this.traffic = traffic;
+        this.health = health;
+        this.targets = targets;
+        this.choice = choice;
+        this.worth = worth;
+        this.groups = groups;
+        this.chance = chance;
+    }
+
+    /**
+     * Members to ask, each for the sake of a held txn that pays for it: for one that needs the primary the
+     * member taken for it, or, where that is lost, the member furthest on; for a read the members that may be
+     * fresh enough. A router asks nobody without such a txn: hundreds of them asking at each start and each
+     * return would be a flood of its own.
+     */
+    List<Host> probes(long now) {
+        List<Host> ask = new ArrayList<>();
+        probeLook = NEVER;
+        for (Group group : groups) {
+            long due = group.members.stream().filter(h -> h.probeOut && !health.mute(h, now)).count();
+            for (Txn txn : group.held) {
+                if (txn.want == Txn.Want.NOTHING || !choice.mayAsk(txn)) {
+                    continue;
+                }
+                long from = askFrom(txn);
+                if (now < from) {
+                    probeLook = Math.min(probeLook, from);
+                    continue;
+                }
+                // As many at once as a tenth of its value pays for, since one or two that answer are enough.
+                double tenth = 0.1 * worth.of(txn, now);
+                int pays = (int) Math.max(1, Math.min(4, tenth / traffic.topValue / worth.fee("probe")));
+                for (Host host : candidates(txn, now)) {
+                    if (due >= pays) {
+                        break;
+                    }
+                    if (probe(host, every(host, txn, now), ask, now)) {
+                        due++;
+                        txn.asked++;
+                        txn.askedAt = now;
+                    }
+                }
+            }
+        }
+        return ask;
+    }
+
+    /** When this txn may ask again: its first two probes at once, the rest an SLA time for all. */
+    private long askFrom(Txn txn) {
+        if (txn.asked >= 2) {
+            return txn.askedAt + txn.type.sla() / worth.budget(txn);
+        }
+        // Before a healthy replica's report can show the session's write there is nothing to learn.
+        return txn.type.read() != Read.SESSION || txn.target == UNBOUND || traffic.stale.size() < 4
+                ? txn.arrived : txn.target + Math.min(Health.YOUNG, traffic.stale.quantile(0.5));
+    }
+
+    private List<Host> candidates(Txn txn, long now) {
+        List<Host> of = new ArrayList<>();
+        Group group = txn.group;
+        boolean toPrimary = txn.want == Txn.Want.PRIMARY;
+        if (toPrimary && group.primary != null && group.primary.state == Host.State.READY
+                && !group.primary.probeOut && !health.doubtful(group.primary, now)) {
+            return List.of(group.primary);
+        }
+        for (Host host : group.members) {
+            if (host.state == Host.State.READY && !host.probeOut && (toPrimary || host != group.primary)
+                    // One that has just spoken has told what it can, but for a position not there yet.
+                    && (host.saidAt < Math.max(now - Health.YOUNG, toPrimary ? group.lostAt : UNBOUND)
+                    || !toPrimary && host.position < targets.target(txn, now))) {
+                of.add(host);
+            }
+        }
+        // Shuffled, so that routers don't all ask the same one; then those furthest on in steps of a second,
+        // as members that lag little are as good as each other.
+        for (int i = of.size() - 1; i > 0; i--) {
+            java.util.Collections.swap(of, i, chance.nextInt(i + 1));
+        }
+        of.sort(Comparator.comparingLong(h -> h.lag / (1_000 * MS)));
+        return of;
+    }
+
+    /** How long a member is left alone after a probe: longer after failures, and while it must be behind. */
+    private long every(Host host, Txn txn, long now) {
+        long failed = host.ends.since(host.lastHeard) - host.ends.sumSince(host.lastHeard);
+        long target = targets.target(txn, now);
+        long lacks = txn.want == Txn.Want.PRIMARY || host.position == UNBOUND || target == UNBOUND ? 0
+                : (target - host.position) / 2;
+        return Math.max(Math.min(2_000 * MS, 100 * MS << Math.min(5, failed)), Math.min(1_000 * MS, lacks));
+    }
+
+    /** Reports are refreshed every 50 to 250 ms, so asking more often than each 100 ms brings little. */
+    private boolean probe(Host host, long every, List<Host> ask, long now) {
+        if (host.probeSent != UNBOUND && now < host.probeSent + every) {
+            probeLook = Math.min(probeLook, host.probeSent + every);
+            return false;
+        }
+        host.probeOut = true;
+        host.probeSent = now;
+        ask.add(host);
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/Times.java
@@ -0,0 +1,114 @@
+package beaconladder;
+
+import static beaconladder.fleet.Traffic.MS;
+import static beaconladder.fleet.Traffic.UNBOUND;
+
+import beaconladder.fleet.Host;
+import beaconladder.fleet.Samples;
+import beaconladder.fleet.Traffic;
+import beaconladder.fleet.Txn;
+import beaconladder.fleet.TxnType.Effect;
+
+/** How long what is worth: when a txn is in time, is released, is given up. */
+record Times(Traffic traffic, Health health) {
+    /**
+     * When the SLA time ends, counted from the client's first try. First tries of a type bring one and the
+     * same budget; any other budget is what is left of the type's expiry, so the difference has already gone
+     * by. Guards against serving repeats that can earn nothing while fresh txns wait; errs on the side of
+     * serving. Where clients mark their repeats, what isn't marked is a first try; where they don't, budgets
+     * under the SLA time that are more frequent than repeats scatter are of clients that come with little
+     * time.
+     */
+    long slaEnd(Txn txn) {
+        long budget = txn.expiry - txn.arrived;
+        Samples budgets = txn.type.budgets();
+        budgets.add(budget, 0, txn.arrived);
+        // Eight samples tell a cluster from scatter; arrivals are read once a tick, so equal budgets spread
+        // by one.
+        long first = budgets.densest(8 * MS);
+        boolean marked = traffic.says("clients.marks_retry");
+        boolean usual = budgets.size() < 8 || Math.abs(budget - first) <= 8 * MS;
+        long sla = txn.type.sla();
+        boolean hurried = budget < sla && budgets.between(0, sla) * (first - sla)
+                > 2 * budgets.between(sla, first - 8 * MS) * sla;
+        boolean firstTry = marked ? !txn.repeated : usual || hurried;
+        long gone = firstTry ? 0 : usual ? (long) (sla * traffic.patience.mean() / 1_000)
+                : Math.max(0, txn.type.expiry() - budget);
+        return Math.min(txn.arrived + sla - gone, txn.expiry);
+    }
+
+    /**
+     * The time within which an answer is of use: the SLA time, or, where many clients leave sooner, what they
+     * have lately waited.
+     */
+    double aim(Txn txn, long now) {
+        long since = now - 10_000 * MS;
+        // A client now and then leaves on any day; three of ten in ten seconds are a habit.
+        return traffic.patience.since(since) >= Math.max(2, 0.3 * traffic.fates.since(since))
+                ? txn.type.sla() * Math.min(1, traffic.patience.mean(since) / 1_000) : txn.type.sla();
+    }
+
+    /**
+     * When a held read may go to the primary: the design's default, one SLA time before its expiry, or
+     * earlier where the primary's answer would else come too late. One and a half usual times cover two
+     * answers in three. A round before its last use at the latest, where slower replicas set that use
+     * before the primary's answer: a release after it would never come.
+     */
+    long release(Txn txn) {
+        Host primary = txn.group.primary;
+        long answer = primary == null || txn.group.times.size() == 0 ? 0 : health.usual(primary) * 3 / 2;
+        return Math.min(Math.min(txn.expiry - txn.type.sla(), txn.slaEnd - answer), lastUse(txn) - round());
+    }
+
+    /**
+     * From here on a txn that is not out is not worth its work: three in five answers would come too late. A
+     * late answer that earns a quarter or less is no reason to send, since a fresh txn earns more by the
+     * same work. Guards against overload fed by work for nothing.
+     */
+    long lastUse(Txn txn) {
+        long end = txn.type.late() > 0.25 ? txn.expiry : txn.slaEnd;
+        return Math.min(end - txn.group.times.quantile(0.4), lastMoment(txn));
+    }
+
+    /**
+     * A txn that lives by the primary, never sent, is given up at half of its time where that is long lost,
+     * so that its client may try again: an outage of T so far ends within r with chance r / (T + r), and at
+     * under three in ten a late answer isn't worth it. Harm: an outage's end finds fewer of them here.
+     */
+    boolean hopeless(Txn txn, long now) {
+        Host primary = txn.group.primary;
+        boolean lost = primary == null || !primary.met || health.doubtful(primary, now);
+        long since = primary == null ? txn.group.lostAt : primary.lastHeard;
+        return lost && since != UNBOUND && txn.type.read().needsPrimary() && txn.submissions.isEmpty()
+                && now >= half(txn) && now - since > 2.3 * (lastUse(txn) - now);
+    }
+
+    private long half(Txn txn) {
+        return (txn.arrived + lastMoment(txn)) / 2;
+    }
+
+    /** Late answers that earn nothing are not waited for. */
+    long timeout(Txn txn, long now) {
+        boolean late = txn.type.late() > 0 || txn.type.effect() != Effect.REPEATABLE;
+        return (late ? lastMoment(txn) : Math.min(txn.slaEnd, lastMoment(txn))) - now;
+    }
+
+    private long round() {
+        return (long) traffic.number("round_us", 5_000) * 1_000;
+    }
+
+    /** Two ticks (10 ms) before the expiry: on a busy core timers and threads were seen 7 ms late at most. */
+    private long lastMoment(Txn txn) {
+        return txn.expiry - 2 * round();
+    }
+
+    long nextLook(Txn txn, long now) {
+        long look = lastUse(txn);
+        for (long moment : new long[] {release(txn), half(txn)}) {
+            look = now < moment ? Math.min(look, moment) : look;
+        }
+        // Draws for doubtful hosts and the budget of cold ones change with time alone.
+        long soon = txn.want == Txn.Want.NOTHING ? 100 * MS : Health.MUTE;
+        return Math.max(now + 5 * MS, Math.min(look, now + soon));
+    }
+}
--- a/src/main/java/beaconladder/fleet/Group.java
+++ b/src/main/java/beaconladder/fleet/Group.java
@@ -47,6 +47,17 @@
         return n;
     }
 
+    /** Whether a write waits here. */
+    public boolean holdsWrite() {
+        return held.stream().anyMatch(t -> t.type.read() == TxnType.Read.WRITE);
+    }
+
+    /** Its primary is none any more. */
+    public void lose(long now) {
+        primary = null;
+        lostAt = now;
+    }
+
     /** A member that is gone for good. */
     public void remove(Host host) {
         members.remove(host);
--- a/src/main/java/beaconladder/fleet/Host.java
+++ b/src/main/java/beaconladder/fleet/Host.java
@@ -59,6 +59,11 @@
         this.zone = zone;
     }
 
+    /** What it said that it holds, and what this router has sent it since. */
+    public double load() {
+        return holds + sentSince(saidAt);
+    }
+
     /** How many of the submissions out were sent at or after this time. */
     public int sentSince(long time) {
         int n = 0;
--- /dev/null
+++ b/src/main/java/beaconladder/fleet/Traffic.java
@@ -0,0 +1,83 @@
+package beaconladder.fleet;
+
+import beaconladder.fleet.TxnType.Read;
+import java.util.List;
+import java.util.Map;
+
+/** What this router is told at start, and what came here and ended lately. */
+public final class Traffic {
+    public static final long MS = 1_000_000L;
+    public static final long NEVER = Long.MAX_VALUE;
+    public static final long UNBOUND = Long.MIN_VALUE;
+
+    public final Map<String, String> start;
+    public final List<TxnType> types;
+    public final double topValue;
+    /** The tightest bound of a txn type; a second where none is stated. */
+    public final long tightest;
+    /** The types of the txns that came last. */
+    public final Samples mix = new Samples(256);
+    /** Times of the last answers, each with what its host had said that it held when it was sent. */
+    public final Samples paces = new Samples(48);
+    /** How old the positions of replicas were when they last came with a probe. */
+    public final Samples stale = new Samples(32);
+    /** How long the last clients that left had waited, in thousandths of their SLA time. */
+    public final Samples patience = new Samples(16);
+    /** How the last submissions ended at hosts that had lately answered: 1 for no good answer. */
+    public final Samples mixed = new Samples(48);
+    /** How the last txns ended: 1 for a commit. */
+    public final Samples fates = new Samples(32);
+
+    public Traffic(Map<String, String> start) {
+        this.start = start;
+        this.types = TxnType.read(start);
+        this.tightest = types.stream().filter(t -> t.read() == Read.BOUNDED).mapToLong(TxnType::bound).min()
+                .orElse(1_000 * MS);
+        this.topValue = types.stream().mapToDouble(TxnType::value).max().orElse(1);
+    }
+
+    /** Allowed unless the settings say no; there, members are trusted without one. */
+    public boolean probesAllowed() {
+        return !"false".equals(start.get("limits.probes"));
+    }
+
+    /** The value of the txns that came last. */
+    public double asked() {
+        return types.stream().mapToDouble(type -> mix.count(type.place()) * type.value()).sum();
+    }
+
+    /** The mean value of the txns that come here, in which prices are reckoned. */
+    public double meanValue() {
+        return mix.size() == 0 ? topValue : asked() / mix.size();
+    }
+
+    /** Whether this setting says yes. */
+    public boolean says(String name) {
+        return "true".equals(start.get(name));
+    }
+
+    /** The number that a setting gives, or the one to take without it. */
+    public double number(String name, double without) {
+        String given = start.get(name);
+        return given == null ? without : Double.parseDouble(given);
+    }
+
+    /** A time that is stated in microseconds, in nanoseconds; 0 without it. */
+    public long micros(String name) {
+        return Long.parseLong(start.getOrDefault(name, "0")) * 1_000;
+    }
+
+    /** A txn whose SLA time had not ended when it came has ended, in time or not. */
+    public void served(Txn txn, boolean inTime) {
+        if (txn.arrived < txn.slaEnd) {
+            txn.type.served().add(inTime ? 1 : 0, 0, txn.arrived);
+        }
+    }
+
+    /** How a txn ended, at this router and in its group: committed or not, and at a warm member or not. */
+    public void fate(Txn txn, boolean committed, boolean warm, long now) {
+        fates.add(committed ? 1 : 0, 0, now);
+        txn.group.borne.add(committed ? 1 : 0, 0, now);
+        txn.group.borneWarm.add(committed && warm ? 1 : 0, 0, now);
+    }
+}
--- a/src/main/java/beaconladder/fleet/Txn.java
+++ b/src/main/java/beaconladder/fleet/Txn.java
@@ -67,6 +67,11 @@
         return n;
     }
 
+    /** Whether one of them is out at this host. */
+    public boolean outAt(Host host) {
+        return submissions.stream().anyMatch(s -> s.host == host && !s.ended);
+    }
+
     /** The first submission that may have run, or null. */
     public Submission mayHaveRun() {
         for (Submission s : submissions) {
