A client's end is seen behind what it wrote ahead, behind a drain's last look, and by its cancel

Seen, by going through each place where a close can go unseen: a client with 64 queries ahead was not read any more, so its end stood unread behind the rest and its queries went on being sent; one that left in the middle of a message was told so behind all it had ahead, which was sent on first (Client.readable); behind a drain's last look nobody read (Client.reads); a CancelRequest was closed and forgotten, its key was 0 for everybody. Ruled out: the dial (stands is asked between the greeting and the query), txns that wait for a primary, many that leave at once.

A message that waits behind a full pipeline is no longer taken for one whose rest does not come.

GoneClientsIT: by the hosts' own clocks no attempt begins over 0.1 s after the end. FullHouseIT: idle clients at the limit of 80 descriptors while discovery is down.

--- a/src/main/java/beaconladder/pg/Inbox.java
+++ b/src/main/java/beaconladder/pg/Inbox.java
@@ -25,6 +25,8 @@
     private final Socket socket;
     private final InputStream in;
     private Room room;
+    /** Whether there was no space for what the channel may have. */
+    private boolean refused;
     /** How many bytes the message that is coming in needs, as far as that is known. */
     private int needed;
     /** When the message that is coming in began, or 0. */
@@ -70,7 +72,8 @@
 
     /** Takes in what the channel has, as long as there is room; how much, or -1 at the end. */
     public int feed(ReadableByteChannel channel) throws IOException {
-        if (!makeSpace()) {
+        refused = !makeSpace();
+        if (refused) {
             return 0;
         }
         int n = channel.read(ByteBuffer.wrap(buffer, to, buffer.length - to));
@@ -85,6 +88,16 @@
         return got == Got.NOTHING && to - from == buffer.length && !makeSpace() ? Got.NO_ROOM : got;
     }
 
+    /** What comes is taken in, but looked at later: a message that has begun is not waited for meanwhile. */
+    public void pause() {
+        begunAt = 0;
+    }
+
+    /** Whether so much has come in that nobody has looked at, or there was no space for more. */
+    public boolean holds(int bytes) {
+        return refused || to - end >= bytes;
+    }
+
     /** When the message began that has not come in whole, or 0. */
     public long begunAt() {
         return begunAt;
@@ -131,7 +144,7 @@
         }
         if (to == buffer.length) {
             int larger = Math.min(2 * buffer.length, BOUND + 5);
-            if (!room.take(larger - buffer.length)) {
+            if (larger == buffer.length || !room.take(larger - buffer.length)) {
                 return false;
             }
             buffer = Arrays.copyOf(buffer, larger);
--- a/src/main/java/beaconladder/serve/Asked.java
+++ b/src/main/java/beaconladder/serve/Asked.java
@@ -58,6 +58,12 @@
         return new Outbox().error("ERROR", code, message, null).ready();
     }
 
+    /** A decline for this reason, with when to come back, in nanoseconds, where that is known. */
+    static Outbox declined(String reason, long comeBack) {
+        return new Outbox().error("ERROR", "53300", "declined, as " + reason + "; it has not run",
+                comeBack > 0 ? String.valueOf(comeBack / 1_000_000) : null).ready();
+    }
+
     private static Asked only(Outbox answer) {
         return new Asked(answer, null, null, 0, 0, null, 0, 0);
     }
--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -14,6 +14,11 @@
     private static final long WHOLE = 2_000_000_000L;
     /** So much of what a client still sends is read after its end was told, so that it sees the message. */
     private static final int WASTE = 64 * 1024;
+    /**
+     * So much is read of a client that has too many queries ahead already, for its end stands behind it: an
+     * attempt that begins once a client has gone is work for nobody. Some hundred queries of the usual kind.
+     */
+    private static final int BEHIND = 128 * 1024;
     /** What a client still sends after its end was told is read so long; networks need far less. */
     static final long LINGER = 500_000_000L;
 
@@ -25,8 +30,11 @@
     private final ClientTask task;
     private final ClientReader reader;
     private int wasted;
-    /** Whether the last look at it was taken: no more is read but the rest of a message that has begun. */
+    /** Whether the last look at it was taken: no txn is taken in but the rest of a query that has begun. */
     private boolean lastLook;
+    private boolean restDue;
+    /** What a request has to name to cancel what is in hand here. */
+    private final long key;
     /** Whether its large messages count as those of its tenant's cell yet. */
     private boolean charged;
     /** When it last did something, on System.nanoTime's clock. */
@@ -40,6 +48,7 @@
         this.clients = clients;
         this.desk = desk;
         this.wire = wire;
+        this.key = clients.crowd().newKey();
         this.in = new Inbox(clients.room());
         this.task = new ClientTask(this, clients, desk, lines, ahead);
         this.reader = new ClientReader(this, clients, desk, in, ahead, task);
@@ -49,6 +58,10 @@
         return wire;
     }
 
+    long key() {
+        return key;
+    }
+
     long usedAt() {
         return usedAt;
     }
@@ -101,9 +114,10 @@
                 }
             } else if (n >= 0) {
                 reader.pump();
-            } else if (in.more()) {
+            } else if (in.more() && ahead.idle()) {
                 reader.sendAway("a message that is cut off");
             } else {
+                // Whoever ends its sending with a txn in hand has gone: a half-close can't be told from that.
                 leave();
             }
         } catch (IOException e) {
@@ -116,9 +130,25 @@
         return wire.isOpen();
     }
 
-    /** Whether more is to be read now: not of who has too much ahead, or goes on after its end. */
+    /**
+     * Whether more is to be read now: not of who has far too much ahead, or goes on after its end. Behind the
+     * last look only the sweep reads on.
+     */
     boolean reads() {
-        return !ahead.full() && wasted < WASTE && !(lastLook && endedAt == 0 && in.begunAt() == 0);
+        return wasted < WASTE && !(ahead.full() && in.holds(BEHIND))
+                && !(lastLook && endedAt == 0 && in.begunAt() == 0);
+    }
+
+    /** Whether a query that has come in now is to be declined, as the last look was taken before it began. */
+    boolean tooLate() {
+        boolean late = lastLook && !restDue;
+        restDue = false;
+        return late;
+    }
+
+    /** The client wants no answer any more to what is in hand here. */
+    void cancel() {
+        task.cancel();
     }
 
     /** Goes on with what is there, once its task has got on; false when the connection is over. */
@@ -154,6 +184,9 @@
             leave();
             return false;
         }
+        if (lastLook && ended == 0 && task.answers() && !readable()) {
+            return false;
+        }
         try {
             if (ended == 0 && !reader.greeted() && now - usedAt > OPENING) {
                 reader.greet(Greeting.fatal("08P01", "no startup message in time"));
@@ -194,11 +227,13 @@
     /**
      * The router ends: this connection is looked at for the last time, and closed now or after the answers to
      * what has come in by then. Without a last look a client that writes on and on would keep it open until
-     * the process is killed, with a txn in hand.
+     * the process is killed, with a txn in hand. While the last answers are due the sweep still reads what
+     * comes, for the client's end may stand behind it, and declines it; what crosses an answer stays unread.
      */
     void lastLook() {
         closeIfIdle(Long.MAX_VALUE);
         lastLook = true;
+        restDue = in.begunAt() != 0;
     }
 
     private boolean idle(long since) {
--- a/src/main/java/beaconladder/serve/ClientReader.java
+++ b/src/main/java/beaconladder/serve/ClientReader.java
@@ -35,7 +35,11 @@
 
     /** Handles all messages that are there whole. */
     void pump() throws IOException {
-        while (!client.ending() && !ahead.full()) {
+        while (!client.ending()) {
+            if (ahead.full()) {
+                in.pause();
+                return;
+            }
             Got got = in.poll(!greeted);
             if (got == Got.NOTHING) {
                 return;
@@ -51,13 +55,14 @@
                 client.used();
                 message();
             } else {
-                greet(Greeting.of(in, clients.full()));
+                greet(Greeting.of(in, clients.crowd().full(), client.key()));
             }
         }
     }
 
     void greet(Greeting greeting) throws IOException {
-        if (greeting.kind() == Greeting.Kind.LEAVE) {
+        if (greeting.kind() == Greeting.Kind.CANCEL) {
+            clients.crowd().cancel(greeting.key());
             client.leave();
             return;
         }
@@ -77,7 +82,13 @@
             case 'Q' -> {
                 if (!in.texts(1)) {
                     sendAway("a query that is not one text");
-                } else if (!skipping) {
+                } else if (skipping) {
+                    return;
+                } else if (client.tooLate()) {
+                    // It came after the last look: declined in its turn, and sent nowhere.
+                    add(new Ahead.Work(null, 0, Asked.error("57P03", "this router ends; it has not run"),
+                            false));
+                } else {
                     add(new Ahead.Work(in.onlyText(), desk.now(), null, false));
                 }
             }
--- a/src/main/java/beaconladder/serve/ClientTask.java
+++ b/src/main/java/beaconladder/serve/ClientTask.java
@@ -1,11 +1,11 @@
 package beaconladder.serve;
 
-import beaconladder.cells.Gate;
 import beaconladder.cells.Pass;
 import beaconladder.fleet.Group;
 import beaconladder.pg.Outbox;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -15,6 +15,9 @@
     /** A client that takes in nothing of what is written to it for so long is given up. */
     private static final long STUCK = 5_000_000_000L;
 
+    private static final Supplier<Outbox> CANCELLED =
+            () -> Asked.error("57014", "cancelled at the client's request; it may have run");
+
     private final Client client;
     private final Clients clients;
     private final Desk desk;
@@ -22,8 +25,11 @@
     private final Wire wire;
     private final Ahead ahead;
     private Hand hand;
-    /** The leave by which the connection counts among those of a tenant, or null. */
-    private Pass counted;
+    /** Whether the client wants no answer any more to the query in hand. */
+    private volatile boolean cancelled;
+    /** Whether a query is in hand whose answer has not begun to go out. */
+    private volatile boolean answers;
+    private final Admission admission;
 
     ClientTask(Client client, Clients clients, Desk desk, Lines lines, Ahead ahead) {
         this.client = client;
@@ -32,6 +38,7 @@
         this.lines = lines;
         this.wire = client.wire();
         this.ahead = ahead;
+        this.admission = new Admission(desk, wire, ahead);
     }
 
     @Override
@@ -74,9 +81,11 @@
 
     /** The life of one txn. */
     private void answer(String query, long arrived) throws IOException, InterruptedException {
+        cancelled = false;
+        answers = true;
         Asked asked = Asked.read(query, desk);
         if (asked.answer() != null) {
-            send(asked.answer());
+            reply(asked.answer());
             return;
         }
         client.known(true);
@@ -85,19 +94,25 @@
         long expiry = drain == null ? arrived + budget : drain.expiry(arrived, budget,
                 desk.writes(asked.type()) || asked.statement().writes());
         if (expiry <= desk.now()) {
-            send(Asked.error("57P03", "no time is left for it here; it has not run"));
+            reply(Asked.error("57P03", "no time is left for it here; it has not run"));
             return;
         }
         Group group = asked.group();
         Pass pass = null;
         if (desk.confined()) {
-            pass = enter(asked, query.length(), arrived, expiry);
+            Admission.Answer leave = admission.enter(asked, query.length(), arrived, expiry, this::gone);
+            pass = leave.pass();
             group = pass == null ? null : desk.group(pass.group());
             if (pass == null) {
+                reply(cancelled ? CANCELLED.get() : leave.told());
+                if (leave.last()) {
+                    wire.endWriting();
+                    client.told();
+                }
                 return;
             } else if (group == null) {
                 desk.leave(pass);
-                send(declined("no host of the cell is known", 0));
+                reply(Asked.declined("no host of the cell is known", 0));
                 return;
             }
         }
@@ -107,97 +122,62 @@
             if (pass != null) {
                 desk.leave(pass);
             }
-            send(Asked.error("22023", "the id of a txn that is in hand"));
+            reply(Asked.error("22023", "the id of a txn that is in hand"));
             return;
         }
         hand(taken);
-        if (ahead.over()) {
+        if (gone()) {
             desk.left(taken);
         }
         try {
-            send(finish(taken));
+            reply(finish(taken));
         } finally {
             hand(null);
             desk.release(asked.id());
         }
     }
 
-    private synchronized void hand(Hand now) {
-        hand = now;
+    boolean answers() {
+        return answers;
     }
 
-    /** Asks for leave where there are cells; without it, null, and the client has been told. */
-    private Pass enter(Asked asked, int size, long arrived, long expiry)
-            throws IOException, InterruptedException {
-        String tenant = asked.statement().value("t");
-        Gate.Answer leave = desk.enter(tenant == null ? "" : tenant, asked.statement().session(),
-                asked.cluster(), desk.writes(asked.type()) || asked.statement().writes(), asked.type(), size,
-                wire.from(), arrived, expiry, ahead::over);
-        if (leave == null) {
-            return null;
-        }
-        switch (leave.kind()) {
-            case DECLINE -> send(declined(leave.reason(), leave.comeBack()));
-            case REFUSE -> send(Asked.error("22023", leave.reason()));
-            default -> {
-                if (joined(leave.pass())) {
-                    return leave.pass();
-                }
-                desk.leave(leave.pass());
-                send(new Outbox().error("FATAL", "53300",
-                        "too many connections of this tenant; it has not run", null));
-                wire.endWriting();
-                client.told();
-            }
-        }
-        return null;
+    private boolean gone() {
+        return ahead.over() || cancelled;
     }
 
-    /** The first txn shows whose connection this is; false when its tenant may not have one more. */
-    private boolean joined(Pass pass) {
-        if (counted() != null || ahead.over()) {
-            return true;
-        }
-        if (!desk.connected(pass)) {
-            return false;
-        }
+    /** The client wants no answer any more to what is in hand; what was written ahead behind it stays. */
+    void cancel() {
+        Hand current;
         synchronized (this) {
-            if (!ahead.over()) {
-                counted = pass;
-                return true;
-            }
+            cancelled = answers;
+            current = hand;
+        }
+        if (cancelled && current != null) {
+            desk.left(current);
         }
-        desk.disconnected(pass);
-        return true;
+    }
+
+    private synchronized void hand(Hand now) {
+        hand = now;
     }
 
     /** The leave by which the connection counts, or null. */
-    synchronized Pass counted() {
-        return counted;
+    Pass counted() {
+        return admission.counted();
     }
 
     /** The client has gone: what was in hand for it ends, once nothing more can come of it. */
     void left() {
         Hand current;
-        Pass connection;
         synchronized (this) {
             current = hand;
-            connection = counted;
-            counted = null;
-        }
-        if (connection != null) {
-            desk.disconnected(connection);
         }
+        admission.left();
         if (current != null) {
             desk.left(current);
         }
     }
 
-    private static Outbox declined(String reason, long comeBack) {
-        return new Outbox().error("ERROR", "53300", "declined, as " + reason + "; it has not run",
-                comeBack > 0 ? String.valueOf(comeBack / 1_000_000) : null).ready();
-    }
-
     /** Does what the desk tells until the txn has its end; returns the final answer. */
     private Outbox finish(Hand taken) throws InterruptedException {
         while (true) {
@@ -216,12 +196,18 @@
                     return Asked.error("40003", "rolled back; it may have run");
                 }
                 case LEFT -> {
-                    return new Outbox();
+                    return cancelled ? CANCELLED.get() : new Outbox();
                 }
             }
         }
     }
 
+    /** From here on the client may go on, and what it writes next is no sign of what it thinks of this txn. */
+    private void reply(Outbox out) throws IOException, InterruptedException {
+        answers = false;
+        send(out);
+    }
+
     /** Writes all of it, and waits for who takes it in slowly. */
     private void send(Outbox out) throws IOException, InterruptedException {
         ByteBuffer bytes = out.bytes();
--- a/src/main/java/beaconladder/serve/Clients.java
+++ b/src/main/java/beaconladder/serve/Clients.java
@@ -193,9 +193,8 @@
         }
     }
 
-    /** Whether a client that has just come can't be kept. */
-    boolean full() {
-        return crowd.full();
+    Crowd crowd() {
+        return crowd;
     }
 
     Room room() {
--- a/src/main/java/beaconladder/serve/Crowd.java
+++ b/src/main/java/beaconladder/serve/Crowd.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Predicate;
 
@@ -19,6 +20,8 @@
     /** So many connections may be held by those who have asked for nothing yet that is served here. */
     private final int mostStrangers;
     private final Set<Client> all = ConcurrentHashMap.newKeySet();
+    /** Decides nothing, so it needs no seed that is told; each process has other keys. */
+    private final SplittableRandom keys = new SplittableRandom(System.nanoTime());
 
     /**
      * Nobody yet.
@@ -32,6 +35,16 @@
         this.mostStrangers = Math.max(8, most / 5);
     }
 
+    /** Somebody asks to cancel what is in hand on the connection of this key. */
+    void cancel(long key) {
+        all.stream().filter(client -> client.key() == key).forEach(Client::cancel);
+    }
+
+    /** A key for one more; for several threads. */
+    synchronized long newKey() {
+        return keys.nextLong();
+    }
+
     Set<Client> all() {
         return all;
     }
--- a/src/main/java/beaconladder/serve/Greeting.java
+++ b/src/main/java/beaconladder/serve/Greeting.java
@@ -10,24 +10,34 @@
  *
  * @param answer null for one that is only to be closed
  * @param kind   what it means for the connection
+ * @param key    for CANCEL the key that it names
  */
-record Greeting(Outbox answer, Kind kind) {
-    /** Whether the client is greeted, asks again, or has to go. */
-    enum Kind { GREETED, AGAIN, FATAL, LEAVE }
+record Greeting(Outbox answer, Kind kind, long key) {
+    /** Whether the client is greeted, asks again, has to go, or ends what is in hand on another connection. */
+    enum Kind { GREETED, AGAIN, FATAL, CANCEL }
+
+    Greeting(Outbox answer, Kind kind) {
+        this(answer, kind, 0);
+    }
 
     private static final int VERSION_3 = 3 << 16;
     private static final int CANCEL = 80877102;
     private static final int SSL = 80877103;
     private static final int GSSENC = 80877104;
 
-    /** The answer to the message that stands in this inbox; a router that is full takes nobody in. */
-    static Greeting of(Inbox in, boolean full) {
+    /**
+     * The answer to the message that stands in this inbox; a router that is full takes nobody in.
+     *
+     * @param key what the client has to name to cancel a query on this connection
+     */
+    static Greeting of(Inbox in, boolean full, long key) {
         int length = in.end() - in.at();
         int version = length < 4 ? 0 : in.int32(in.at());
         if (version == SSL || version == GSSENC) {
             return new Greeting(new Outbox().raw(new byte[] {'N'}, 0, 1), Kind.AGAIN);
         } else if (version == CANCEL) {
-            return new Greeting(null, Kind.LEAVE);
+            return new Greeting(null, Kind.CANCEL, length == 12
+                    ? (long) in.int32(in.at() + 4) << 32 | in.int32(in.at() + 8) & 0xffffffffL : 0);
         } else if (version >> 16 != 3) {
             return fatal("0A000", "protocol " + (version >> 16) + "." + (version & 0xffff)
                     + " is not spoken here, 3.0 is");
@@ -44,7 +54,8 @@
         }
         return new Greeting(out.authenticationOk().parameterStatus("server_version", "15.0")
                 .parameterStatus("client_encoding", "UTF8").parameterStatus("server_encoding", "UTF8")
-                .parameterStatus("standard_conforming_strings", "on").backendKey(0, 0).ready(), Kind.GREETED);
+                .parameterStatus("standard_conforming_strings", "on")
+                .backendKey((int) (key >> 32), (int) key).ready(), Kind.GREETED);
     }
 
     static Greeting fatal(String code, String message) {
--- /dev/null
+++ b/src/test/java/beaconladder/serve/FullHouseIT.java
@@ -0,0 +1,96 @@
+package beaconladder.serve;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beaconladder.lab.Caller;
+import beaconladder.lab.DiscoveryStandIn;
+import beaconladder.lab.DiscoveryStandIn.Manner;
+import beaconladder.lab.HostStandIn;
+import beaconladder.pg.Outbox;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Idle clients hold every descriptor they can get while discovery is down. */
+@Timeout(90)
+class FullHouseIT extends ServedProgram {
+    private static final int LIMIT = 80;
+    private static final int IDLE = 2 * LIMIT;
+
+    @Test
+    void discoveryIsReachedAtItsReturnAndAtANewAddressAndTheEndIsADrain() throws Exception {
+        sockets = LIMIT;
+        int port = Program.freePort();
+        router = keep(new Program(folder, config(port), port, "ulimit -n " + LIMIT + "; ")).ready();
+        Caller c = caller();
+        ask(c, read("warm", 2000));
+        discovery.manner = Manner.SILENT;
+        discovery.cutOff();
+        List<Socket> idle = new ArrayList<>();
+        fill(idle);
+        // Longer than a silent watch is waited for: it has been asked anew, and that is silent too.
+        TimeUnit.MILLISECONDS.sleep(5_500);
+        fill(idle);
+
+        HostStandIn d = keep(new HostStandIn("follower"));
+        discovery.list(true, a.entry("a", "Ready"), b.entry("b", "Terminating"), d.entry("d", "Ready"));
+        discovery.manner = Manner.ANSWER;
+        heard(d, 2_050);
+
+        HostStandIn e = keep(new HostStandIn("follower"));
+        discovery = keep(new DiscoveryStandIn());
+        discovery.list(true, a.entry("a", "Ready"), d.entry("d", "Terminating"), e.entry("e", "Ready"));
+        fill(idle);
+        router.reload(config(port));
+        heard(e, 4_000);
+        assertThat(router.files()).isLessThanOrEqualTo(LIMIT);
+
+        router.signal("TERM");
+        assertThat(router.process.waitFor(10, TimeUnit.SECONDS)).isTrue();
+        assertThat(router.process.exitValue()).as(router.log()).isZero();
+        assertThat(router.log()).contains("drained").doesNotContain("Too many open files", "ERROR");
+    }
+
+    /** Keeps so many open, each greeted or told that there is no room; who was sent away comes again. */
+    private void fill(List<Socket> idle) throws IOException {
+        idle.removeIf(socket -> !open(socket));
+        while (idle.size() < IDLE) {
+            Socket socket = keep(new Socket(InetAddress.getLoopbackAddress(), router.port));
+            idle.add(socket);
+            Outbox.startup("app", "shop").writeTo(socket.getOutputStream());
+        }
+    }
+
+    private static boolean open(Socket socket) {
+        try {
+            socket.setSoTimeout(1);
+            while (socket.getInputStream().available() > 0) {
+                socket.getInputStream().read(new byte[1024]);
+            }
+            return socket.getInputStream().read() >= 0;
+        } catch (java.net.SocketTimeoutException e) {
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Within so many milliseconds a read of somebody who comes and asks is served at this host. */
+    private void heard(HostStandIn host, long millis) throws Exception {
+        long until = System.nanoTime() + millis * 1_000_000;
+        for (int i = 0; host.queries.isEmpty(); i++) {
+            assertThat(System.nanoTime()).as(router.log()).isLessThan(until);
+            try (Caller one = new Caller(new Socket(InetAddress.getLoopbackAddress(), router.port))) {
+                Outbox.startup("app", "shop").append(Outbox.query(read("h" + host.port() + "-" + i, 1500)))
+                        .writeTo(one.out);
+                one.answer();
+                one.answer();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconladder/serve/GoneClientsIT.java
@@ -0,0 +1,231 @@
+package beaconladder.serve;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beaconladder.lab.Caller;
+import beaconladder.lab.HostStandIn;
+import beaconladder.lab.HostStandIn.Manner;
+import beaconladder.pg.Outbox;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * A client that closes or cancels has gone: no attempt for it begins more than a tenth of a second later, by
+ * what the hosts saw.
+ */
+@Timeout(60)
+class GoneClientsIT extends ServedProgram {
+    private static final long LATE = 100;
+
+    /** Its end stands behind queries that nobody has looked at yet. */
+    @Test
+    void nothingIsSentOnOfAPipelineThatIsFullOnceItsClientHasGone() throws Exception {
+        start();
+        Caller c = caller();
+        ask(c, read("warm", 2000));
+        a.delayMillis = 120;
+        b.delayMillis = 120;
+        pipeline("p", 200).writeTo(c.out);
+        await(() -> seen("p").size() >= 3);
+        c.close();
+        nothingAfter(System.currentTimeMillis(), "p", 1_500);
+    }
+
+    /** Half a message was the last that came of it. */
+    @Test
+    void nothingIsSentOnOfAClientThatGoesInTheMiddleOfAMessage() throws Exception {
+        start();
+        Caller c = caller();
+        ask(c, read("warm", 2000));
+        a.delayMillis = 300;
+        b.delayMillis = 300;
+        Outbox all = pipeline("h", 5);
+        all.writeTo(c.out);
+        c.out.write(new byte[] {'Q', 0, 0, 1, 0, 'S', 'E'});
+        await(() -> seen("h").size() >= 1);
+        c.close();
+        nothingAfter(System.currentTimeMillis(), "h", 1_500);
+    }
+
+    /** The router ends, and has taken its last look at the connection. */
+    @Test
+    void nothingIsSentOnOfAClientThatGoesBehindADrainsLastLook() throws Exception {
+        start();
+        Caller c = caller();
+        ask(c, read("warm", 2000));
+        a.delayMillis = 400;
+        b.delayMillis = 400;
+        router.signal("TERM");
+        TimeUnit.MILLISECONDS.sleep(450);
+        pipeline("d", 4).writeTo(c.out);
+        await(() -> !takesIn());
+        c.close();
+        nothingAfter(System.currentTimeMillis(), "d", 1_500);
+        assertThat(router.process.waitFor(10, TimeUnit.SECONDS)).isTrue();
+    }
+
+    /** What comes behind a drain's last look while an answer is due is declined, and sent nowhere. */
+    @Test
+    void whatComesBehindADrainsLastLookIsDeclinedInItsTurn() throws Exception {
+        start();
+        Caller c = caller();
+        ask(c, read("warm", 2000));
+        a.delayMillis = 500;
+        b.delayMillis = 500;
+        router.signal("TERM");
+        TimeUnit.MILLISECONDS.sleep(450);
+        pipeline("in", 1).writeTo(c.out);
+        await(() -> !takesIn());
+        pipeline("late", 2).writeTo(c.out);
+        say(c.answer(), c.answer(), c.answer(), c.answer());
+        assertThat(trace.toString()).isEqualTo("T D:00ff27 C:SELECT 1 Z\nE:57P03 Z\nE:57P03 Z\nclosed\n");
+        assertThat(seen("late")).isEmpty();
+    }
+
+    /** The host is slow to greet, and the client goes meanwhile. */
+    @Test
+    void nothingIsSentOverAConnectionThatComesUpOnceTheClientHasGone() throws Exception {
+        start();
+        Caller c = caller();
+        a.closesAfterAnswer = true;
+        b.closesAfterAnswer = true;
+        for (int i = 0; i < 4; i++) {
+            ask(c, read("warm" + i, 2000));
+        }
+        a.greetMillis = 200;
+        b.greetMillis = 200;
+        Outbox.query(read("g1", 2000)).writeTo(c.out);
+        TimeUnit.MILLISECONDS.sleep(20);
+        c.close();
+        nothingAfter(System.currentTimeMillis(), "g", 1_000);
+    }
+
+    /** They wait for a primary, all go at once, and then there is one again. */
+    @Test
+    void nothingIsSentOnOfManyThatGoAtOnceWhileTheyWait() throws Exception {
+        start();
+        Caller first = caller();
+        ask(first, write("warm", 2000));
+        a.manner = Manner.MISS;
+        List<Caller> all = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            all.add(caller());
+            Outbox.query(write("m" + i + "x", 2000)).writeTo(all.get(i).out);
+        }
+        await(() -> !seen("m").isEmpty());
+        TimeUnit.MILLISECONDS.sleep(100);
+        for (Caller c : all) {
+            c.close();
+        }
+        long gone = System.currentTimeMillis();
+        a.manner = Manner.ANSWER;
+        nothingAfter(gone, "m", 1_500);
+        await(() -> ask(first, write("again", 2000)).contains("C:"));
+    }
+
+    @Test
+    void aCancelEndsWhatIsInHandOnItsConnectionAlone() throws Exception {
+        start();
+        Keyed c = new Keyed();
+        a.manner = Manner.SILENT;
+        b.manner = Manner.SILENT;
+        Outbox.query(write("c1", 2000)).append(Outbox.query(write("c2", 2000))).writeTo(c.out);
+        await(() -> !seen("c1").isEmpty());
+        cancel(c.process, c.secret + 1);
+        TimeUnit.MILLISECONDS.sleep(300);
+        assertThat(c.waiting()).isZero();
+        a.manner = Manner.ANSWER;
+        b.manner = Manner.ANSWER;
+        long from = System.currentTimeMillis();
+        cancel(c.process, c.secret);
+        say(c.caller.answer());
+        assertThat(System.currentTimeMillis() - from).isLessThan(500);
+        say(c.caller.answer());
+        assertThat(trace.toString()).isEqualTo("E:57014 Z\nT D:00ff27 C:SELECT 1 Z\n");
+        assertThat(seen("c1")).hasSize(1);
+    }
+
+    // ---- Helpers ------------------------------------------------------------------------------------------
+
+    private static Outbox pipeline(String name, int queries) {
+        Outbox all = new Outbox();
+        for (int i = 0; i < queries; i++) {
+            all.append(Outbox.query(read(name + i + "x", 2000)));
+        }
+        return all;
+    }
+
+    /** The ids with this beginning that a host saw. */
+    private List<String> seen(String name) {
+        List<String> ids = new ArrayList<>();
+        for (HostStandIn host : List.of(a, b)) {
+            for (String query : host.queries()) {
+                if (query.contains("id=" + name)) {
+                    ids.add(query.replaceAll(".*(id=[^,]*,).*", "$1"));
+                }
+            }
+        }
+        return ids;
+    }
+
+    private void nothingAfter(long gone, String name, long watch) throws InterruptedException {
+        TimeUnit.MILLISECONDS.sleep(watch);
+        for (String id : seen(name)) {
+            assertThat(a.sawBefore(id, gone + LATE) || b.sawBefore(id, gone + LATE)).as(id).isTrue();
+        }
+    }
+
+    private boolean takesIn() {
+        try (Socket one = new Socket(InetAddress.getLoopbackAddress(), router.port)) {
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private void cancel(int process, int secret) throws IOException {
+        try (Socket one = new Socket(InetAddress.getLoopbackAddress(), router.port)) {
+            one.getOutputStream().write(ByteBuffer.allocate(16).putInt(16).putInt(80877102).putInt(process)
+                    .putInt(secret).array());
+            assertThat(one.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+
+    /** A client that keeps the key by which it may cancel. */
+    private final class Keyed {
+        private final Socket socket = keep(new Socket(InetAddress.getLoopbackAddress(), router.port));
+        private final java.io.OutputStream out = socket.getOutputStream();
+        private final Caller caller;
+        private int process;
+        private int secret;
+
+        Keyed() throws IOException {
+            Outbox.startup("app", "shop").writeTo(out);
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            ByteArrayOutputStream types = new ByteArrayOutputStream();
+            while (!types.toString().endsWith("Z")) {
+                types.write(in.readByte());
+                byte[] body = new byte[in.readInt() - 4];
+                in.readFully(body);
+                if (types.toString().endsWith("K")) {
+                    process = ByteBuffer.wrap(body).getInt();
+                    secret = ByteBuffer.wrap(body).getInt(4);
+                }
+            }
+            caller = new Caller(socket);
+        }
+
+        int waiting() throws IOException {
+            return socket.getInputStream().available();
+        }
+    }
+}
