Reads are not answered from before a write whose answer was lost, nor by a primary that was none

With the trace on, one read each followed back: - lonja: a hung primary came back as a replica; the ERROR of a write that it still held said so, and the report in the same answer, 2,571 ms old as the position, still said primary. HostRecord.hear took the report last, and the next read (14 ms later) went there. - andes (sessions remembered by the router): the session's write was out on a connection that had fallen silent, or had ended in a reset; the host had committed and answered, which counts as known 100 ms later, arrived or not. Targets knew only of commits told. Ruled out: positions told wrongly (the replicas' were exact), two sessions under one key, a read sent before the write.

Now what a host denied in its own answer no report at or before that position brings back (Host.replicaAt); a write that may have run counts as committed up to its end, and while it is out its session's reads need what lies 50 ms back. Where sessions carry their commit nothing changes.

--- a/src/main/java/beaconladder/Ends.java
+++ b/src/main/java/beaconladder/Ends.java
@@ -9,7 +9,7 @@
 import java.util.List;
 
 /** How many submissions a txn gets, and how it ends without a commit. */
-record Ends(Traffic traffic, ColdRamp ramp) {
+record Ends(Traffic traffic) {
     /** Further submissions go by value: one for the least, four for the most. */
     int mostSubmissions(Txn txn) {
         int most = (int) traffic.number("limits.max_attempts", 1);
--- a/src/main/java/beaconladder/HostRecord.java
+++ b/src/main/java/beaconladder/HostRecord.java
@@ -30,7 +30,9 @@
             group.changed = true;
         }
         long stamp = word.position() == Word.NONE ? now : word.position();
-        if (word.role() == Role.PRIMARY && stamp >= group.primaryAt) {
+        // A report is older than the answer that it came with: what that denied it does not bring back.
+        host.replicaAt = direct && word.role() == Role.REPLICA ? stamp : host.replicaAt;
+        if (word.role() == Role.PRIMARY && stamp >= group.primaryAt && stamp > host.replicaAt + MS) {
             group.primaryAt = stamp;
             group.foundAt = group.primary == host ? group.foundAt : now;
             group.primary = host;
@@ -157,8 +159,10 @@
         if (outcome == Outcome.MISS && txn.type.read() == Read.WRITE && host.group.primary == host) {
             host.group.lose(now);
         }
-        if (outcome == Outcome.COMMITTED && txn.type.read() == Read.WRITE) {
-            targets.remember(txn, answer.position() == Word.NONE ? now : answer.position());
+        if (txn.type.read() == Read.WRITE && !s.neverRan) {
+            // Without its answer it may have committed up to now; later ones can't reach this router.
+            boolean told = outcome == Outcome.COMMITTED && answer.position() != Word.NONE;
+            targets.remember(txn, told ? answer.position() : now);
         }
     }
 }
--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -1,13 +1,13 @@
 package beaconladder;
 
 import static beaconladder.fleet.Traffic.MS;
-import static beaconladder.fleet.Traffic.NEVER;
 
 import beaconladder.api.Pause;
 import beaconladder.api.Router.Outcome;
 import beaconladder.api.Router.Word;
 import beaconladder.api.Router;
 import beaconladder.api.Verdict;
+import beaconladder.fleet.Agenda;
 import beaconladder.fleet.Group;
 import beaconladder.fleet.Host;
 import beaconladder.fleet.Submission;
@@ -23,7 +23,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.TreeSet;
 
 /**
  * Every decision of one router, with the classes beside it; docs/design.md tells why it decides so.
@@ -36,8 +35,7 @@
  */
 public final class Logic implements Router {
     private final Set<Group> groups = new LinkedHashSet<>();
-    private final TreeSet<Txn> agenda =
-            new TreeSet<>(Comparator.<Txn>comparingLong(t -> t.look).thenComparingLong(t -> t.number));
+    private final Agenda agenda = new Agenda();
     /** Hosts with connections that this router will hardly use again soon. */
     private final Set<Host> idle = new LinkedHashSet<>();
     private final Traffic traffic;
@@ -59,10 +57,10 @@
         times = new Times(traffic, health);
         targets = new Targets(traffic, ramp, new LinkedHashMap<>(64, 0.75f, true));
         worth = new Worth(traffic);
-        ends = new Ends(traffic, ramp);
+        ends = new Ends(traffic);
         HostRoom room = new HostRoom(traffic, health, times);
         choice = new Choice(traffic, health, ramp, times, room, targets, worth, chance);
-        probing = new Probing(traffic, health, targets, choice, worth, groups, chance);
+        probing = new Probing(traffic, health, targets, choice, worth, groups, agenda, chance);
         record = new HostRecord(traffic, health, targets, groups, idle);
     }
 
@@ -90,18 +88,19 @@
     public Verdict place(Txn txn, long now) {
         if (!txn.known) {
             txn.known = true;
-            txn.target = targets.sessionTarget(txn);
+            txn.target = targets.sessionTarget(txn, now);
             txn.slaEnd = times.slaEnd(txn);
             traffic.mix.add(txn.type.place(), 0, now);
             txn.group.comes.add(0, 0, now);
             ramp.drawTickets(txn.group, now);
         }
-        drop(txn);
+        agenda.drop(txn);
         Verdict verdict = decide(txn, now);
         if (verdict.step() == Verdict.Step.SEND) {
             verdict.host().sentAt = now;
             verdict.host().tickets.pollFirst();
-            schedule(txn, now + health.usual(verdict.host()));
+            targets.sent(txn);
+            agenda.schedule(txn, now + health.usual(verdict.host()));
         }
         return verdict;
     }
@@ -128,7 +127,7 @@
             return Verdict.send(host, times.timeout(txn, now));
         }
         txn.group.held.add(txn);
-        schedule(txn, times.nextLook(txn, now));
+        agenda.schedule(txn, times.nextLook(txn, now));
         return Verdict.waiting();
     }
 
@@ -140,7 +139,7 @@
         }
         for (Submission s : txn.submissions) {
             if (!s.ended && !health.doubtful(s.host, now)) {
-                schedule(txn, now + health.usual(s.host));
+                agenda.schedule(txn, now + health.usual(s.host));
                 return Verdict.waiting();
             }
         }
@@ -148,7 +147,7 @@
         if (host != null) {
             return Verdict.send(host, times.timeout(txn, now));
         }
-        schedule(txn, now + 50 * MS);
+        agenda.schedule(txn, now + 50 * MS);
         return Verdict.waiting();
     }
 
@@ -174,7 +173,7 @@
             return Verdict.waiting();
         }
         if (settled) {
-            drop(txn);
+            agenda.drop(txn);
             traffic.served(txn, outcome == Outcome.COMMITTED && now <= txn.slaEnd);
             traffic.fate(txn, outcome == Outcome.COMMITTED, !ramp.cold(s.host, now), now);
             return Verdict.done(ends.othersOut(txn));
@@ -184,7 +183,7 @@
 
     @Override
     public Verdict left(Txn txn, long now) {
-        drop(txn);
+        agenda.drop(txn);
         traffic.patience.add((now - txn.arrived) * 1_000 / txn.type.sla(), 0, now);
         traffic.fate(txn, false, false, now);
         // Work for a client that has gone keeps the next one waiting.
@@ -196,7 +195,7 @@
      */
     @Override
     public Verdict displaced(Txn txn, long now) {
-        drop(txn);
+        agenda.drop(txn);
         Submission ran = txn.mayHaveRun();
         if (txn.out() > 0) {
             return Verdict.waiting();
@@ -209,12 +208,7 @@
 
     @Override
     public Pause pause(long now) {
-        Set<Txn> again = new LinkedHashSet<>();
-        while (!agenda.isEmpty() && agenda.first().look <= now) {
-            Txn txn = agenda.pollFirst();
-            txn.look = NEVER;
-            again.add(txn);
-        }
+        Set<Txn> again = agenda.due(now);
         for (Group group : groups) {
             if (group.changed) {
                 group.changed = false;
@@ -229,22 +223,9 @@
                 .thenComparingLong(t -> -t.slaEnd)
                 .thenComparingLong(t -> t.number));
         List<Host> probes = probing.probes(now);
-        long until = agenda.isEmpty() ? NEVER : agenda.first().look;
         List<Host> close = new ArrayList<>(idle);
         idle.clear();
         close.removeIf(host -> !host.out.isEmpty());
-        return new Pause(Math.min(until, probing.probeLook), probes, order, close);
-    }
-
-    private void schedule(Txn txn, long look) {
-        agenda.remove(txn);
-        txn.look = look;
-        agenda.add(txn);
-    }
-
-    private void drop(Txn txn) {
-        agenda.remove(txn);
-        txn.look = NEVER;
-        txn.group.held.remove(txn);
+        return new Pause(agenda.next(), probes, order, close);
     }
 }
--- a/src/main/java/beaconladder/Probing.java
+++ b/src/main/java/beaconladder/Probing.java
@@ -4,6 +4,7 @@
 import static beaconladder.fleet.Traffic.NEVER;
 import static beaconladder.fleet.Traffic.UNBOUND;
 
+import beaconladder.fleet.Agenda;
 import beaconladder.fleet.Group;
 import beaconladder.fleet.Host;
 import beaconladder.fleet.Traffic;
@@ -16,27 +17,8 @@
 import java.util.SplittableRandom;
 
 /** Which members are asked for the sake of held txns, and when. */
-final class Probing {
-    private final Traffic traffic;
-    private final Health health;
-    private final Targets targets;
-    private final Choice choice;
-    private final Worth worth;
-    private final Set<Group> groups;
-    private final SplittableRandom chance;
-    long probeLook = NEVER;
-
-    Probing(Traffic traffic, Health health, Targets targets, Choice choice, Worth worth,
-            Set<Group> groups, SplittableRandom chance) {
-        this.traffic = traffic;
-        this.health = health;
-        this.targets = targets;
-        this.choice = choice;
-        this.worth = worth;
-        this.groups = groups;
-        this.chance = chance;
-    }
-
+record Probing(Traffic traffic, Health health, Targets targets, Choice choice, Worth worth, Set<Group> groups,
+        Agenda agenda, SplittableRandom chance) {
     /**
      * Members to ask, each for the sake of a held txn that pays for it: for one that needs the primary the
      * member taken for it, or, where that is lost, the member furthest on; for a read the members that may be
@@ -45,7 +27,7 @@
      */
     List<Host> probes(long now) {
         List<Host> ask = new ArrayList<>();
-        probeLook = NEVER;
+        agenda.probe = NEVER;
         for (Group group : groups) {
             long due = group.members.stream().filter(h -> h.probeOut && !health.mute(h, now)).count();
             for (Txn txn : group.held) {
@@ -54,7 +36,7 @@
                 }
                 long from = askFrom(txn);
                 if (now < from) {
-                    probeLook = Math.min(probeLook, from);
+                    agenda.probe = Math.min(agenda.probe, from);
                     continue;
                 }
                 // As many at once as a tenth of its value pays for, since one or two that answer are enough.
@@ -122,7 +104,7 @@
     /** Reports are refreshed every 50 to 250 ms, so asking more often than each 100 ms brings little. */
     private boolean probe(Host host, long every, List<Host> ask, long now) {
         if (host.probeSent != UNBOUND && now < host.probeSent + every) {
-            probeLook = Math.min(probeLook, host.probeSent + every);
+            agenda.probe = Math.min(agenda.probe, host.probeSent + every);
             return false;
         }
         host.probeOut = true;
--- a/src/main/java/beaconladder/Targets.java
+++ b/src/main/java/beaconladder/Targets.java
@@ -1,13 +1,20 @@
 package beaconladder;
 
+import static beaconladder.fleet.Traffic.MS;
+import static beaconladder.fleet.Traffic.UNBOUND;
+
 import beaconladder.fleet.Host;
 import beaconladder.fleet.Session;
 import beaconladder.fleet.Traffic;
 import beaconladder.fleet.Txn;
+import beaconladder.fleet.TxnType.Read;
 import java.util.LinkedHashMap;
 
 /** The log position that a read needs, and who is known to have it. */
 record Targets(Traffic traffic, ColdRamp ramp, LinkedHashMap<Long, Session> sessions) {
+    /** Half of the 100 ms after which an answer counts as known, arrived or not; the rest is for the way. */
+    private static final long KNOWN = 50 * MS;
+
     boolean fresh(Host host, long target) {
         return host.state == Host.State.READY && host != host.group.primary
                 && (host.met || !traffic.probesAllowed()) && host.position >= target;
@@ -23,26 +30,43 @@
     long target(Txn txn, long now) {
         return switch (txn.type.read()) {
             case BOUNDED -> Math.max(txn.floor, now - txn.type.bound());
-            case SESSION -> Math.max(txn.floor, txn.target);
+            case SESSION -> Math.max(txn.floor, Math.max(txn.target, sessionTarget(txn, now)));
             default -> txn.floor;
         };
     }
 
-    long sessionTarget(Txn txn) {
+    /**
+     * What the session's writes have committed as far as this router counts as knowing it: a write that is
+     * still out may have been answered, and the answer lost on its way.
+     */
+    long sessionTarget(Txn txn, long now) {
         if (!"router".equals(traffic.start.get("family_info.session_marks"))) {
             return txn.written;
         }
         Session session = sessions.get(txn.session);
-        return session != null ? session.commit : txn.group.forgotten;
+        boolean answered = session != null && session.writes.stream().flatMap(w -> w.submissions.stream())
+                .anyMatch(s -> !s.ended && s.sent < now - KNOWN);
+        long commit = session != null ? session.commit : txn.group.forgotten;
+        return answered ? Math.max(commit, now - KNOWN) : commit;
+    }
+
+    /** It goes out now. */
+    void sent(Txn txn) {
+        if (txn.type.read() == Read.WRITE) {
+            remember(txn, UNBOUND);
+            sessions.computeIfPresent(txn.session, (key, session) -> session.with(txn));
+        }
     }
 
+    /** What this write may have committed at the most. */
     void remember(Txn txn, long commit) {
         if (txn.session == 0 || !"router".equals(traffic.start.get("family_info.session_marks"))) {
             return;
         }
         Session session = sessions.computeIfAbsent(txn.session, k -> new Session());
         session.group = txn.group;
-        session.commit = Math.max(session.commit, commit);
+        session.commit = Math.max(session.commit, Math.max(commit, txn.group.forgotten));
+        session.writes.removeIf(write -> write.out() == 0);
         // 50,000 sessions are a few megabytes; what is forgotten still binds, as the newest commit forgotten.
         if (sessions.size() > 50_000) {
             Session eldest = sessions.remove(sessions.keySet().iterator().next());
--- a/src/main/java/beaconladder/fleet/Host.java
+++ b/src/main/java/beaconladder/fleet/Host.java
@@ -23,6 +23,8 @@
     public long toldOfStart;
     /** Newest log position that it is known to have applied. */
     public long position = Long.MIN_VALUE;
+    /** The newest position at which it said itself that it is a replica. */
+    public long replicaAt = Long.MIN_VALUE;
     /** How far its position lay behind the clock at its last answer. */
     public long lag;
     /** Whether it has answered this router, or a probe, since this router or it started. */
--- a/src/main/java/beaconladder/fleet/Session.java
+++ b/src/main/java/beaconladder/fleet/Session.java
@@ -1,8 +1,19 @@
 package beaconladder.fleet;
 
-/** A session whose writes this router has seen committed. */
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** A session whose writes went through this router. */
 public final class Session {
-    /** Position of its newest commit. */
+    /** The newest position that one of its writes may have committed at, of those that are over. */
     public long commit = Long.MIN_VALUE;
+    /** Its writes that may be out. */
+    public final Set<Txn> writes = new LinkedHashSet<>();
     public Group group;
+
+    /** This session, with one more write that goes out. */
+    public Session with(Txn write) {
+        writes.add(write);
+        return this;
+    }
 }
