A primary that has denied it is asked first where a late list names it again

Found by reading on from the report that brought a primary back, not seen by itself: the list's role is seconds late at some deployments, and HostRecord.listed took whom it named at once. Now one that has said itself that it is a replica is probed first; without probes it is left until an answer says so.

StaleReadTest.aLateListDoesNotBringAPrimaryBackThatHasDeniedIt.

--- a/src/main/java/beaconladder/HostRecord.java
+++ b/src/main/java/beaconladder/HostRecord.java
@@ -82,10 +82,13 @@
         host.state = state;
         if (leader && group.namedByRoster != host) {
             group.namedByRoster = host;
-            if (group.primary == null || group.primary.state != Host.State.READY
-                    || health.doubtful(group.primary, now)) {
+            // Lists are seconds late: one that has said itself that it is a replica is asked before it is sent to.
+            boolean denied = host.replicaAt != UNBOUND;
+            if ((group.primary == null || group.primary.state != Host.State.READY
+                    || health.doubtful(group.primary, now)) && (!denied || traffic.probesAllowed())) {
                 group.foundAt = now;
                 group.primary = host;
+                host.met &= !denied;
             }
         }
     }
--- a/src/test/java/beaconladder/StaleReadTest.java
+++ b/src/test/java/beaconladder/StaleReadTest.java
@@ -8,6 +8,7 @@
 
 import beaconladder.api.Router.Outcome;
 import beaconladder.api.Router.Role;
+import beaconladder.fleet.Host.State;
 import org.junit.jupiter.api.Test;
 
 /** Ways to a read that is answered from data older than its type permits. */
@@ -37,6 +38,18 @@
         assertThat(s.trace()).doesNotContain("send 2 to " + host);
     }
 
+    /** Lists name a primary seconds after it was one. */
+    @Test
+    void aLateListDoesNotBringAPrimaryBackThatHasDeniedIt() {
+        for (String probes : new String[] {"true", "false"}) {
+            Script s = Script.warm("limits.probes=" + probes).tick(100).ask(1, WRITE, 0, 2000).tick(110)
+                    .end(1, Outcome.MISS, Role.REPLICA, 90).list("b", true, State.READY, 0)
+                    .probed("b", Role.REPLICA, 109).list("a", true, State.READY, 0).quiet().ask(2, WRITE, 0, 900).tick(120);
+            assertThat(s.trace()).as(probes).contains("ask 2").doesNotContain("to a");
+            assertThat(s.trace().contains("probe a")).as(probes).isEqualTo(probes.equals("true"));
+        }
+    }
+
     /**
      * Seen where this router remembers the writes: the connection of a write fell silent, so its commit was
      * answered and never heard of; a read of the session was answered from before it.
