--- a/src/main/java/beaconladder/HostRecord.java
+++ b/src/main/java/beaconladder/HostRecord.java
@@ -117,6 +117,7 @@
         if (host.out.isEmpty() && host.times.since(now - 10_000 * MS) < 3) {
             idle.add(host);
         }
+        host.unheardAt = outcome.fromHost() || s.neverRan ? host.unheardAt : now;
         if (outcome.fromHost()) {
             host.met = true;
             host.lastHeard = now;
--- a/src/test/java/beaconladder/StaleReadTest.java
+++ b/src/test/java/beaconladder/StaleReadTest.java
@@ -2,6 +2,7 @@
 
 import static beaconladder.Script.ANY;
 import static beaconladder.Script.BOUNDED;
+import static beaconladder.Script.CURRENT;
 import static beaconladder.Script.SESSION;
 import static beaconladder.Script.WRITE;
 import static org.assertj.core.api.Assertions.assertThat;
@@ -50,6 +51,22 @@
         }
     }
 
+    /** The answer that was not heard may have said so, and counts as known all the same. */
+    @Test
+    void aPrimaryWhoseAnswerWasNotHeardIsAskedBeforeAReadGoesThere() {
+        for (Outcome outcome : new Outcome[] {Outcome.RESET, Outcome.TIMED_OUT, Outcome.CANCELLED}) {
+            Script s = Script.warm().tick(400).ask(1, WRITE, 0, 2000).tick(430).end(1, outcome).quiet()
+                    .ask(2, CURRENT, 0, 900).tick(431);
+            assertThat(s.trace()).as(outcome.name()).contains("probe").doesNotContain("send 2");
+            // Where the host is doubtful beside it, a draw decides what comes then.
+            s.tick(440).probed("a", Role.PRIMARY, 439);
+            assertThat(s.trace().contains("send 2 to a")).isEqualTo(outcome == Outcome.CANCELLED);
+        }
+        // What surely did not reach it can't have been answered.
+        assertThat(Script.warm().tick(100).ask(1, WRITE, 0, 2000).tick(130).end(1, Outcome.MOOT).quiet()
+                .ask(2, CURRENT, 0, 900).trace()).contains("send 2 to a");
+    }
+
     /**
      * Seen where this router remembers the writes: the connection of a write fell silent, so its commit was
      * answered and never heard of; a read of the session was answered from before it.
