Calls to discovery say that they wait 20 s and are given up after four, quiet or silent

So the wait that is said is long again, and the router gives the call up by itself: both clocks are kept. A quiet call's end is no trouble and is not logged.

--- a/src/main/java/beaconladder/HostRecord.java
+++ b/src/main/java/beaconladder/HostRecord.java
@@ -82,7 +82,7 @@
         host.state = state;
         if (leader && group.namedByRoster != host) {
             group.namedByRoster = host;
-            // Lists are seconds late: one that has said itself that it is a replica is asked before it is sent to.
+            // Lists are seconds late: one that said itself that it is a replica is asked first.
             boolean denied = host.replicaAt != UNBOUND;
             if ((group.primary == null || group.primary.state != Host.State.READY
                     || health.doubtful(group.primary, now)) && (!denied || traffic.probesAllowed())) {
--- a/src/main/java/beaconladder/roster/CallSchedule.java
+++ b/src/main/java/beaconladder/roster/CallSchedule.java
@@ -10,10 +10,12 @@
 final class CallSchedule {
     /** The protocol's figure: what could be reached counts as told so long after discovery had it. */
     static final int TOLD_MILLIS = 6_000;
+    /** What a call says that it may wait: news that nobody could get do not count until two seconds behind. */
+    static final int SAID_MILLIS = 20_000;
     /**
-     * A call's wait. One that begins at t and falls silent at once is broken at t + 3,500 + 510 ms (the try of
-     * a quick discovery, grace 2 s); the next try, one for a slow discovery, fails by t + 5,510, and another
-     * one is answered before t + 6,000. A slower discovery is asked to wait less, see {@link #call}.
+     * How long it is waited for all the same. A call that begins at t and falls silent at once is given up at
+     * t + 3,500 + 510 ms (the try of a quick discovery, grace 2 s); the next try, one for a slow discovery,
+     * fails by t + 5,510, and one more is answered before t + 6,000. For a slower one see {@link #call}.
      */
     static final int WAIT_MILLIS = 3_500;
     private static final int LEAST_WAIT_MILLIS = 500;
@@ -27,7 +29,7 @@
     private static final int FIRST_TRIES = 2;
     /** What the agent has counts from a process's first moment: a start waits for it, two such tries. */
     static final int START_MILLIS = FIRST_TRIES * FIRST_MILLIS;
-    /** With tries of more than half the time in which news count, news behind one's snapshot come too late. */
+    /** With tries of over half the time in which news count, those behind a snapshot come too late. */
     static final int LONGEST_MILLIS = 2_500;
     /** One in so many silent tries is longer, for who is slow, and still fits into the grace with another. */
     private static final int EVEN_TRIES = 12;
@@ -41,7 +43,7 @@
      * A call.
      *
      * @param waits how long discovery may wait for news, in milliseconds; 0 asks for the whole list at once
-     * @param all   after how many milliseconds it is broken; tail counts from the first byte of its answer
+     * @param all   after how many milliseconds it is given up, quiet or silent; tail counts from the first byte of its answer
      */
     record Call(int waits, int all, int tail) {
     }
@@ -78,7 +80,7 @@
         }
         int room = Math.min(WAIT_MILLIS, TOLD_MILLIS - TRY_MILLIS / 2 - 3 * usual);
         int waits = Math.max(LEAST_WAIT_MILLIS, room) - chance.nextInt(JITTER_MILLIS);
-        return new Call(waits, waits + usual, usual);
+        return new Call(SAID_MILLIS, waits + usual, usual);
     }
 
     /** A try for who is slow: an outage's end is rarely met by one that outlasts the grace. */
--- a/src/main/java/beaconladder/roster/Watch.java
+++ b/src/main/java/beaconladder/roster/Watch.java
@@ -96,8 +96,10 @@
                 }
                 // A watch that broke may have missed anything: the whole list comes first again.
                 version = -1;
+                // A call that waits is given up when it is quiet, too: only the next one tells.
+                boolean quiet = call.waits() > 0 && e instanceof SocketTimeoutException;
                 // Once for each is enough until it answers again: it is tried twice a second.
-                if (troubles.add(String.valueOf(e.getMessage()))) {
+                if (!quiet && troubles.add(String.valueOf(e.getMessage()))) {
                     LOG.warn("discovery: {}; the last list stands", e.getMessage());
                 }
                 if (e instanceof SocketTimeoutException) {
--- a/src/main/java/beaconladder/serve/ClientTask.java
+++ b/src/main/java/beaconladder/serve/ClientTask.java
@@ -202,7 +202,7 @@
         }
     }
 
-    /** From here on the client may go on, and what it writes next is no sign of what it thinks of this txn. */
+    /** From here on the client may go on: what it writes next says nothing of this txn. */
     private void reply(Outbox out) throws IOException, InterruptedException {
         answers = false;
         send(out);
--- a/src/main/java/beaconladder/serve/Greeting.java
+++ b/src/main/java/beaconladder/serve/Greeting.java
@@ -13,7 +13,7 @@
  * @param key    for CANCEL the key that it names
  */
 record Greeting(Outbox answer, Kind kind, long key) {
-    /** Whether the client is greeted, asks again, has to go, or ends what is in hand on another connection. */
+    /** Whether the client is greeted, asks again, has to go, or cancels what another has in hand. */
     enum Kind { GREETED, AGAIN, FATAL, CANCEL }
 
     Greeting(Outbox answer, Kind kind) {
--- a/src/test/java/beaconladder/roster/WatchTest.java
+++ b/src/test/java/beaconladder/roster/WatchTest.java
@@ -23,9 +23,9 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * The clock of the list: what discovery has, and what could be had of it, counts as told 6 s later, and at the
- * end of an outage what is left is the grace of drains. By then the watch has asked again and knows it, over
- * every way in which a call can fail.
+ * The clock of the list: what discovery has, and what could be had of it, counts as told 6 s later, and at
+ * the end of an outage what is left is the grace of drains. By then the watch has asked again and knows it,
+ * over every way in which a call can fail.
  */
 @Timeout(90)
 class WatchTest {
