--- a/src/main/java/beaconladder/Choice.java
+++ b/src/main/java/beaconladder/Choice.java
@@ -1,6 +1,5 @@
 package beaconladder;
 
-import beaconladder.fleet.Group;
 import beaconladder.fleet.Host;
 import beaconladder.fleet.Traffic;
 import beaconladder.fleet.Txn;
--- a/src/main/java/beaconladder/roster/CallSchedule.java
+++ b/src/main/java/beaconladder/roster/CallSchedule.java
@@ -10,7 +10,7 @@
 final class CallSchedule {
     /** The protocol's figure: what could be reached counts as told so long after discovery had it. */
     static final int TOLD_MILLIS = 6_000;
-    /** What a call says that it may wait: news that nobody could get do not count until two seconds behind. */
+    /** What a call says that it may wait: what nobody could get does not count until 2 s behind that. */
     static final int SAID_MILLIS = 20_000;
     /**
      * How long it is waited for all the same. A call that begins at t and falls silent at once is given up at
@@ -43,7 +43,8 @@
      * A call.
      *
      * @param waits how long discovery may wait for news, in milliseconds; 0 asks for the whole list at once
-     * @param all   after how many milliseconds it is given up, quiet or silent; tail counts from the first byte of its answer
+     * @param all   after how many milliseconds it is given up, quiet or silent; tail counts from the first
+     *              byte of its answer
      */
     record Call(int waits, int all, int tail) {
     }
