--- a/src/main/java/beaconladder/serve/Ahead.java
+++ b/src/main/java/beaconladder/serve/Ahead.java
@@ -90,7 +90,8 @@
 
         /** Whether both name one row and one of them writes: what came first is to be seen by the other. */
         private boolean ordered(Work other) {
-            return query != null && other.query != null && (statement().writes() || other.statement().writes())
+            return query != null && other.query != null
+                    && (statement().writes() || other.statement().writes())
                     && statement().session() == other.statement().session();
         }
     }
--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -14,7 +14,7 @@
     private static final long WHOLE = 2_000_000_000L;
     /** So much of what a client still sends is read after its end was told, so that it sees the message. */
     private static final int WASTE = 64 * 1024;
-    /** So much is read of a client with too many queries ahead, for its end stands behind it: some hundred. */
+    /** So much is read of a client with too many queries ahead: its end stands behind it. Some hundred. */
     private static final int BEHIND = 128 * 1024;
     /** What a client still sends after its end was told is read so long; networks need far less. */
     static final long LINGER = 500_000_000L;
@@ -233,7 +233,7 @@
      * The router ends: this connection is looked at for the last time, and closed now or after the answers to
      * what has come in by then. Without a last look a client that writes on and on would keep it open until
      * the process is killed, with a txn in hand. While the last answers are due the sweep still reads what
-     * comes, for the client's end may stand behind it, and declines it; what crosses the last stays unread.
+     * comes, for the client's end may stand behind it, and declines it; what crosses the last is unread.
      */
     void lastLook() {
         closeIfIdle(Long.MAX_VALUE);
--- a/src/test/java/beaconladder/serve/AheadTest.java
+++ b/src/test/java/beaconladder/serve/AheadTest.java
@@ -42,7 +42,8 @@
         assertThat(ahead.another(MANY)).isFalse();
         done(w2);
         assertThat(ahead.next(MANY)).isSameAs(r3);
-        assertThat(List.of(r1.begins(), w4.begins(), w2.begins(), r3.begins())).containsExactly(0L, 0L, 7L, 7L);
+        assertThat(List.of(r1.begins(), w4.begins(), w2.begins(), r3.begins()))
+                .containsExactly(0L, 0L, 7L, 7L);
     }
 
     @Test
@@ -110,7 +111,8 @@
     }
 
     private static Ahead.Work read(String key) {
-        return new Ahead.Work("SELECT doc FROM items WHERE id = '" + key + "' /* id=1,c=any,d=9,cluster=1 */", 0);
+        return new Ahead.Work("SELECT doc FROM items WHERE id = '" + key
+                + "' /* id=1,c=any,d=9,cluster=1 */", 0);
     }
 
     private static Ahead.Work write(String key) {
