A refused router asks discovery more rarely, and no longer keeps it down with the fleet

Calls that were taken in waited their turn of up to a second (the service's own time-out) and were given up by the router after 0.23 to 0.31 s, so discovery worked in vain; the refused came again after 25 to 225 ms; and each answer was followed by a second call, refused too. Ruled out: the network (503 within 4 ms), the list (readable whenever it came), the module. At fault: CallSchedule.failed (a rest without a sign of load), its tries of 225 to 1,000 ms before a queue, Watch.run (version = -1 after every failure, whole list and watch as two calls).

Change: where the settings say that lists are asked for, AskedSchedule decides: calls are waited for 2.5 s; a refusal (5xx, 429) keeps what is held, and the same call comes again by full jitter; watches end quietly at 3 to 3.5 s and longer after refusals; a watch that broke asks for the changes since its version. An answer that goes back behind what is held makes the next call one for the whole.

--- a/src/main/java/beaconladder/lab/DiscoveryStandIn.java
+++ b/src/main/java/beaconladder/lab/DiscoveryStandIn.java
@@ -9,8 +9,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** Discovery's agent. */
 public final class DiscoveryStandIn implements AutoCloseable {
@@ -32,9 +34,11 @@
     public volatile int waitMillis = 200;
     /** Connections of an earlier age are cut off: they stay open, and nothing comes on them any more. */
     private final AtomicInteger age = new AtomicInteger();
-    private String whole = "";
-    private String change = "";
-    private int version;
+    /** What it bears, or null for an agent, which bears all. */
+    public volatile Capacity capacity;
+    /** Bytes of its answers. */
+    public final AtomicLong bytes = new AtomicLong();
+    private final ChangeLog log = new ChangeLog();
 
     public DiscoveryStandIn() throws IOException {
         Tasks.spawn(() -> {
@@ -46,10 +50,7 @@
     }
 
     public synchronized void list(boolean full, String... entries) {
-        version++;
-        change = "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":["
-                + String.join(",", entries) + "]}";
-        whole = full ? change : whole;
+        log.add(full, List.of(entries));
         notifyAll();
     }
 
@@ -71,11 +72,19 @@
                     head.write(c);
                 }
                 calls.incrementAndGet();
-                String body = body(head.toString(StandardCharsets.US_ASCII).split(" ")[1]);
+                String path = head.toString(StandardCharsets.US_ASCII).split(" ")[1];
+                Capacity bears = capacity;
+                if (bears != null && !bears.serve(lines(path))) {
+                    socket.getOutputStream().write(("HTTP/1.1 503 Service Unavailable\r\n"
+                            + "Content-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                    continue;
+                }
+                String body = body(path);
                 Tasks.sleep(lateMillis);
                 String bad = garbage;
                 byte[] answer = (bad != null ? bad : "HTTP/1.1 200 OK\r\nContent-Length: " + body.length()
                         + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII);
+                bytes.addAndGet(answer.length);
                 if (!say(socket, born < age.get() ? Manner.SILENT : manner, answer) || bad != null) {
                     return;
                 }
@@ -115,21 +124,30 @@
         return manner == Manner.ANSWER || manner == Manner.DRIP;
     }
 
+    private static int index(String path) {
+        return path.contains("index=") ? Integer.parseInt(path.replaceAll(".*index=(\\d+).*", "$1")) : -1;
+    }
+
+    /** The entries of an answer that was given now. */
+    private synchronized int lines(String path) {
+        return log.entriesSince(index(path));
+    }
+
     private synchronized String body(String path) {
-        if (!path.contains("index=")) {
-            return whole;
+        int index = index(path);
+        if (index < 0) {
+            return log.whole();
         }
-        int index = Integer.parseInt(path.replaceAll(".*index=(\\d+).*", "$1"));
         int wait = Math.min(waitMillis, Integer.parseInt(path.replaceAll(".*wait=(\\d+).*", "$1")));
         try {
             long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(wait);
-            while (index >= version && System.nanoTime() < until) {
-                wait(10);
+            while (index >= log.version() && System.nanoTime() < until) {
+                TimeUnit.NANOSECONDS.timedWait(this, Math.max(1, until - System.nanoTime()));
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        return index >= version ? "{\"version\":" + version + ",\"full\":false,\"servers\":[]}" : change;
+        return log.since(index);
     }
 
     @Override
--- a/src/main/java/beaconladder/roster/CallSchedule.java
+++ b/src/main/java/beaconladder/roster/CallSchedule.java
@@ -7,9 +7,7 @@
  * counts as told {@link #TOLD_MILLIS} later whatever became of the calls; and at the return of a discovery
  * that was down it may count at once, so that what is left then is the grace of drains.
  */
-final class CallSchedule {
-    /** The protocol's figure: what could be reached counts as told so long after discovery had it. */
-    static final int TOLD_MILLIS = 6_000;
+final class CallSchedule implements Schedule {
     /** What a call says that it may wait: what nobody could get does not count until 2 s behind that. */
     static final int SAID_MILLIS = 20_000;
     /**
@@ -29,8 +27,6 @@
     private static final int FIRST_TRIES = 2;
     /** What the agent has counts from a process's first moment: a start waits for it, two such tries. */
     static final int START_MILLIS = FIRST_TRIES * FIRST_MILLIS;
-    /** With tries of over half the time in which news count, those behind a snapshot come too late. */
-    static final int LONGEST_MILLIS = 2_500;
     /** One in so many silent tries is longer, for who is slow, and still fits into the grace with another. */
     private static final int EVEN_TRIES = 12;
     /** One in so many is longer than that, once a minute: whoever answers at all is heard. */
@@ -39,16 +35,6 @@
     /** An agent that answers at once without any news is not asked again in a spin. */
     private static final long SHORTEST_NANOS = 100_000_000;
 
-    /**
-     * A call.
-     *
-     * @param waits how long discovery may wait for news, in milliseconds; 0 asks for the whole list at once
-     * @param all   after how many milliseconds it is given up, quiet or silent; tail counts from the first
-     *              byte of its answer
-     */
-    record Call(int waits, int all, int tail) {
-    }
-
     private final SplittableRandom chance;
     private final int grace;
     /** A try of this length that fails and one that is answered fit into the grace of drains. */
@@ -65,17 +51,17 @@
         moved();
     }
 
-    /** Another address: nothing is known of it. */
-    void moved() {
+    @Override
+    public void moved() {
         answer = 0;
         silences = 0;
         rest = FIRST_REST_MILLIS;
     }
 
-    /** The next call, of a watch that holds a list or has to begin anew. */
-    Call call(boolean listed) {
+    @Override
+    public Call call(boolean goesOn) {
         int usual = answer > 0 ? answer : silences < FIRST_TRIES ? FIRST_MILLIS : least;
-        if (!listed) {
+        if (!goesOn) {
             int all = Math.max(usual, longer());
             return new Call(0, all, all);
         }
@@ -93,26 +79,34 @@
                 : Math.min(LONGEST_MILLIS, grace - least);
     }
 
-    /** A call was answered after so many nanoseconds, with news or not; milliseconds to rest then. */
-    int answered(Call call, long took, boolean news) {
+    @Override
+    public int answered(Call call, long took, boolean news) {
         rest = FIRST_REST_MILLIS;
         silences = 0;
         if (call.waits() == 0) {
             // A slow discovery is not cut off at each call.
             answer = (int) Math.min(LONGEST_MILLIS, least + took / 1_000_000);
         }
-        return news || took >= SHORTEST_NANOS ? 0 : FIRST_REST_MILLIS;
+        return news || call.waits() == 0 || took >= SHORTEST_NANOS ? 0 : FIRST_REST_MILLIS;
     }
 
-    /** A call brought nothing in its time; the next comes at once. */
-    void silent() {
+    /** The next comes at once. */
+    @Override
+    public int silent(Call call) {
         silences++;
+        return 0;
     }
 
-    /** A call was refused, cut off or answered with nonsense; milliseconds to rest before the next. */
-    int failed() {
+    @Override
+    public int failed() {
         int now = rest;
         rest = Math.min(2 * rest, least);
         return now / 2 + chance.nextInt(now / 2 + 1);
     }
+
+    /** An agent on the same machine serves nobody else: what it refuses is no sign of load. */
+    @Override
+    public int refused(Call call) {
+        return failed();
+    }
 }
--- a/src/main/java/beaconladder/roster/HttpGet.java
+++ b/src/main/java/beaconladder/roster/HttpGet.java
@@ -24,6 +24,24 @@
 public final class HttpGet {
     /** A list of some thousand hosts; a body is refused beyond it. */
     private static final int LONGEST_BODY = 4 << 20;
+    /** An answer other than 200: somebody was there. */
+    public static final class Status extends IOException {
+        private static final long serialVersionUID = 1L;
+        private static final int TOO_MANY = 429;
+        private static final int SERVER = 500;
+        private final int code;
+
+        Status(int code, String reason) {
+            super("answered " + code + " " + reason);
+            this.code = code;
+        }
+
+        /** Whether the call itself was right, and may be made again as it was. */
+        public boolean passing() {
+            return code == TOO_MANY || code >= SERVER;
+        }
+    }
+
     private static final int CONNECT_MILLIS = 1_000;
     private static final HttpRequestExecutor CALLS = new HttpRequestExecutor();
     private static final Http1Config FRAMES = Http1Config.custom().setBufferSize(4096).setMaxLineLength(8192)
@@ -95,7 +113,7 @@
             String body = body(answer.getEntity());
             int code = answer.getCode();
             if (code != 200 && !(mistakes && code == 400)) {
-                throw new IOException("answered " + code + " " + answer.getReasonPhrase());
+                throw new Status(code, answer.getReasonPhrase());
             }
             keep = CALLS.keepAlive(request, answer, now.http, context);
             return body;
--- a/src/main/java/beaconladder/roster/Watch.java
+++ b/src/main/java/beaconladder/roster/Watch.java
@@ -30,7 +30,7 @@
     }
 
     private final Listener listener;
-    private final CallSchedule schedule;
+    private final Schedule schedule;
     /** The calls to the present address; those to an earlier one are ended. */
     private volatile HttpGet http;
     private final long madeAt = System.nanoTime();
@@ -49,9 +49,23 @@
      * @param seed        for the moments at which it asks
      */
     public Watch(InetSocketAddress discovery, long graceMillis, long seed, Listener listener) {
+        this(discovery, new CallSchedule(graceMillis, seed), listener);
+    }
+
+    private Watch(InetSocketAddress discovery, Schedule schedule, Listener listener) {
         this.http = new HttpGet(discovery);
         this.listener = listener;
-        this.schedule = new CallSchedule(graceMillis, seed);
+        this.schedule = schedule;
+    }
+
+    /**
+     * One of a discovery that is one service for all routers and tells nobody who does not ask.
+     *
+     * @param everyMillis how often the rules want to be asked by who has no watch
+     * @param seed        for the moments at which it asks
+     */
+    public static Watch asking(InetSocketAddress discovery, long everyMillis, long seed, Listener listener) {
+        return new Watch(discovery, new AskedSchedule(everyMillis, seed), listener);
     }
 
     /** Discovery is to be asked at this address from now on, for the whole list first. */
@@ -66,16 +80,19 @@
     @Override
     public void run() {
         HttpGet asked = null;
+        // What was last heard; changes since then can be asked for. A watch goes on behind an answer.
         long version = -1;
+        boolean goesOn = false;
         Set<String> troubles = new HashSet<>();
         while (!stopped) {
             if (asked != http) {
                 // Versions are of the address that gave them.
                 asked = http;
                 version = -1;
+                goesOn = false;
                 schedule.moved();
             }
-            CallSchedule.Call call = schedule.call(version >= 0);
+            Schedule.Call call = schedule.call(goesOn);
             long from = System.nanoTime();
             try {
                 String body = asked.get(version < 0 ? "/v1/servers"
@@ -84,7 +101,8 @@
                     continue;
                 }
                 long before = version;
-                version = take(body);
+                version = take(body, before);
+                goesOn = true;
                 if (!troubles.isEmpty()) {
                     LOG.info("discovery answers again");
                     troubles.clear();
@@ -94,8 +112,7 @@
                 if (asked != http) {
                     continue;
                 }
-                // A watch that broke may have missed anything: the whole list comes first again.
-                version = -1;
+                goesOn = false;
                 // A call that waits is given up when it is quiet, too: only the next one tells.
                 boolean quiet = call.waits() > 0 && e instanceof SocketTimeoutException;
                 // Once for each is enough until it answers again: it is tried twice a second.
@@ -103,13 +120,19 @@
                     LOG.warn("discovery: {}; the last list stands", e.getMessage());
                 }
                 if (e instanceof SocketTimeoutException) {
-                    schedule.silent();
+                    rest(schedule.silent(call));
+                } else if (e instanceof HttpGet.Status status && status.passing()) {
+                    rest(schedule.refused(call));
                 } else {
+                    // What can't be read, or does not fit what is held, is asked for whole.
+                    version = e instanceof Unfit || e instanceof Json.Fault || e instanceof HttpGet.Status
+                            ? -1 : version;
                     rest(schedule.failed());
                 }
             } catch (RuntimeException | Error e) {
                 LOG.error("discovery: the last list stands", e);
                 version = -1;
+                goesOn = false;
                 rest(schedule.failed());
             }
         }
@@ -133,44 +156,58 @@
         }
     }
 
-    /** Tells the news; returns their version. */
-    private long take(String body) throws Json.Fault, IOException {
+    /** An answer that can't be read, or does not fit what is held; only the whole list helps. */
+    private static final class Unfit extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        Unfit(String cause) {
+            super(cause);
+        }
+    }
+
+    /** Tells the news since that version, or since ever; returns their version. */
+    private long take(String body, long since) throws Json.Fault, IOException {
         if (!(Json.read(body) instanceof Map<?, ?> news)) {
-            throw new IOException("no list of hosts");
+            throw new Unfit("no list of hosts");
         }
         List<Entry> entries = entries(news);
         boolean whole = Boolean.TRUE.equals(news.get("full"));
         // Without a version the next call would ask for the whole list again, in a spin.
         if (!(news.get("version") instanceof BigDecimal number) || number.signum() < 0) {
-            throw new IOException("a list without its version");
+            throw new Unfit("a list without its version");
+        }
+        long version = number.longValue();
+        // One that goes back is of a discovery that began anew, and knows nothing of what we hold.
+        if (!whole && version < since) {
+            throw new Unfit("changes up to version " + version + " behind version " + since);
         }
         if (whole || !entries.isEmpty()) {
             listener.listed(whole, entries);
         }
         answered = true;
-        return number.longValue();
+        return version;
     }
 
     /** The entries of a list; one that can't be read makes the whole of it void. */
     public static List<Entry> entries(Map<?, ?> news) throws IOException {
         if (!(news.get("servers") instanceof List<?> list)) {
-            throw new IOException("no list of hosts");
+            throw new Unfit("no list of hosts");
         }
         List<Entry> entries = new ArrayList<>();
         for (Object each : list) {
             if (!(each instanceof Map<?, ?> e) || !(e.get("id") instanceof String id)
                     || !(e.get("cell") instanceof BigDecimal cell)) {
-                throw new IOException("an entry without id or group");
+                throw new Unfit("an entry without id or group");
             }
             State state = switch (String.valueOf(e.get("state"))) {
                 case "Ready" -> State.READY;
                 case "Terminating" -> State.DRAINING;
                 case "Gone" -> State.GONE;
-                default -> throw new IOException("an unknown state " + e.get("state"));
+                default -> throw new Unfit("an unknown state " + e.get("state"));
             };
             InetSocketAddress address = e.get("addr") instanceof String a ? address(a) : null;
             if (address == null && state != State.GONE) {
-                throw new IOException("no address of " + id);
+                throw new Unfit("no address of " + id);
             }
             long launched = e.get("started_ms") instanceof BigDecimal started ? started.longValue() : 0;
             entries.add(new Entry(id, address, String.valueOf(e.get("zone")), cell.intValue(), state,
--- a/src/main/java/beaconladder/serve/Serve.java
+++ b/src/main/java/beaconladder/serve/Serve.java
@@ -66,7 +66,9 @@
         clients = new Clients(desk, lines, threads, room, territory == null ? List.of()
                 : territory.plan().cells().stream().map(cell -> new Room((long) (cell.share() * bytes), room))
                 .toList(), descriptors, stated.descriptors());
-        watch = new Watch(stated.discovery(), stated.drainGraceMillis(), stated.seed(), desk);
+        watch = stated.asks()
+                ? Watch.asking(stated.discovery(), stated.askEveryMillis(), stated.seed(), desk)
+                : new Watch(stated.discovery(), stated.drainGraceMillis(), stated.seed(), desk);
         if (!stated.known().isEmpty()) {
             desk.listed(true, stated.known());
         }
--- a/src/main/java/beaconladder/serve/Stated.java
+++ b/src/main/java/beaconladder/serve/Stated.java
@@ -32,6 +32,20 @@
         return Long.parseLong(start.getOrDefault("rules.drain_grace_us", "2000000")) / 1_000;
     }
 
+    /** Whether the list has to be asked for; else an agent on this machine has it. */
+    boolean asks() {
+        return "ask".equals(start.get("discovery"));
+    }
+
+    /** How often the rules want to be asked by who has no watch; without such a rule, each ten seconds. */
+    long askEveryMillis() {
+        return askEveryMillis(start);
+    }
+
+    private static long askEveryMillis(Map<String, String> start) {
+        return Long.parseLong(start.getOrDefault("rules.ask_every_us", "10000000")) / 1_000;
+    }
+
     /** Reads the file; what is wrong with it is the message of the exception. */
     static Stated read(Path file) throws IOException {
         if (Files.size(file) > LONGEST) {
@@ -63,6 +77,7 @@
         try {
             new Logic(seed, start);
             drainGraceMillis(start);
+            askEveryMillis(start);
             return new Stated(String.valueOf(stated.get("name")), listen, discovery, seed, start,
                     Integer.parseInt(limits.getOrDefault("memory_mb", "192")),
                     Integer.parseInt(limits.getOrDefault("sockets", "1024")), known);
--- a/src/test/java/beaconladder/roster/CallScheduleTest.java
+++ b/src/test/java/beaconladder/roster/CallScheduleTest.java
@@ -25,12 +25,12 @@
         int slowest = 0;
         boolean listed = false;
         for (int took : before) {
-            CallSchedule.Call call = schedule.call(listed);
+            Schedule.Call call = schedule.call(listed);
             if (took == -2) {
                 assertThat(schedule.failed()).isBetween(1, 500);
                 listed = false;
             } else if (took == -1 || took > call.all()) {
-                schedule.silent();
+                schedule.silent(new Schedule.Call(0, 1, 1));
                 listed = false;
             } else {
                 assertThat(schedule.answered(call, took * 1_000_000L, took % 2 == 0)).isBetween(0, 200);
@@ -42,13 +42,13 @@
             schedule.answered(schedule.call(false), 5_000_000, true);
             slowest = 5;
         }
-        CallSchedule.Call watch = schedule.call(true);
-        schedule.silent();
-        CallSchedule.Call next = schedule.call(false);
-        schedule.silent();
+        Schedule.Call watch = schedule.call(true);
+        schedule.silent(new Schedule.Call(0, 1, 1));
+        Schedule.Call next = schedule.call(false);
+        schedule.silent(new Schedule.Call(0, 1, 1));
         // An answer as quick as the last whole list was; one that is slower than a second is heard at once.
         int heard = slowest > 1_000 ? watch.all() + slowest : watch.all() + next.all() + slowest;
-        assertThat(heard).isLessThan(CallSchedule.TOLD_MILLIS);
+        assertThat(heard).isLessThan(Schedule.TOLD_MILLIS);
         assertThat(schedule.call(false).all()).isGreaterThan(slowest);
         // Long said, and given up by the router itself; news have time to come meanwhile.
         assertThat(watch.waits()).isEqualTo(20_000);
@@ -62,11 +62,11 @@
         CallSchedule schedule = new CallSchedule(grace, 1);
         schedule.answered(schedule.call(false), took * 1_000_000L, true);
         for (int i = 0; i < silences; i++) {
-            schedule.silent();
+            schedule.silent(new Schedule.Call(0, 1, 1));
         }
         // It returns right after this call was let go unheard.
         int lost = schedule.call(false).all();
-        schedule.silent();
+        schedule.silent(new Schedule.Call(0, 1, 1));
         assertThat(schedule.call(false).all()).isGreaterThan(took);
         assertThat(lost + took).isLessThanOrEqualTo(grace + 50);
     }
@@ -88,16 +88,16 @@
      * schedule of one call at a time knows in six seconds what began behind a call's snapshot.
      */
     @Property(seed = "1")
-    void aSlowDiscoveryIsHeard(@ForAll @IntRange(min = 1, max = CallSchedule.LONGEST_MILLIS) int millis) {
+    void aSlowDiscoveryIsHeard(@ForAll @IntRange(min = 1, max = Schedule.LONGEST_MILLIS) int millis) {
         CallSchedule schedule = new CallSchedule(2_000, 1);
         int heard = 0;
         for (int i = 0; i < CALLS; i++) {
-            CallSchedule.Call call = schedule.call(false);
+            Schedule.Call call = schedule.call(false);
             if (millis <= call.all()) {
                 heard++;
                 schedule.answered(call, millis * 1_000_000L, true);
             } else {
-                schedule.silent();
+                schedule.silent(new Schedule.Call(0, 1, 1));
             }
         }
         assertThat(heard).isGreaterThan(CALLS - 25);
@@ -109,12 +109,12 @@
         CallSchedule schedule = new CallSchedule(2_000, 1);
         schedule.answered(schedule.call(false), 1_000_000, true);
         int spent = schedule.call(true).all();
-        schedule.silent();
+        schedule.silent(new Schedule.Call(0, 1, 1));
         while (millis > schedule.call(false).all()) {
             spent += schedule.call(false).all();
-            schedule.silent();
+            schedule.silent(new Schedule.Call(0, 1, 1));
         }
-        assertThat(spent + millis).isLessThan(millis <= 1_500 ? CallSchedule.TOLD_MILLIS : 90_000);
+        assertThat(spent + millis).isLessThan(millis <= 1_500 ? Schedule.TOLD_MILLIS : 90_000);
     }
 
     /** A move forgets how slow the old address was. */
@@ -122,7 +122,7 @@
     void aMoveBeginsAnew(@ForAll @IntRange(max = 20) int silences) {
         CallSchedule schedule = new CallSchedule(2_000, 1);
         for (int i = 0; i < silences; i++) {
-            schedule.silent();
+            schedule.silent(new Schedule.Call(0, 1, 1));
             schedule.failed();
         }
         schedule.moved();
