A watch behind a refusal is short at first, so that its silence is found before its news count

At fault: AskedSchedule.call, which let the watch behind a refusal wait as long as later ones, and 2.5 s beyond. Now it waits 3 to 3.5 s and 2 s beyond, while refusals are rare.

--- a/src/main/java/beaconladder/roster/AskedSchedule.java
+++ b/src/main/java/beaconladder/roster/AskedSchedule.java
@@ -17,6 +17,8 @@
     private static final int JITTER_MILLIS = 500;
     /** What an answer may take beyond its wait and what the last one took: a slow process of our own. */
     private static final int MARGIN_MILLIS = 500;
+    /** What is left for a call that has to wait its turn, and one behind it, before its news count. */
+    private static final int QUEUE_MILLIS = TOLD_MILLIS - WAIT_MILLIS - JITTER_MILLIS - MARGIN_MILLIS;
     /** After a refusal: the mean is as long as a call takes that waits its turn, then doubled. */
     private static final int REFUSED_MILLIS = 500;
     /** Three times, to what leaves time for a call more before news count. */
@@ -71,9 +73,9 @@
         if (!goesOn && !again) {
             return new Call(0, LONGEST_MILLIS, LONGEST_MILLIS);
         }
-        int now = waits + chance.nextInt(JITTER_MILLIS);
-        // One that was refused may have to queue.
-        int tail = again ? LONGEST_MILLIS : Math.min(LONGEST_MILLIS, MARGIN_MILLIS + beyond);
+        // One that was refused may have to queue; where that is rare, its silence is still found in time.
+        int now = (again && waits <= 2 * WAIT_MILLIS ? WAIT_MILLIS : waits) + chance.nextInt(JITTER_MILLIS);
+        int tail = again ? QUEUE_MILLIS : Math.min(LONGEST_MILLIS, MARGIN_MILLIS + beyond);
         return new Call(now, now + tail, tail);
     }
 
--- a/src/test/java/beaconladder/roster/AskedScheduleTest.java
+++ b/src/test/java/beaconladder/roster/AskedScheduleTest.java
@@ -145,6 +145,24 @@
         assertThat(schedule.call(false).waits()).isZero();
     }
 
+    /** Nor does a refusal before it change that: the watch behind it says a short wait. */
+    @Property(seed = "1")
+    void aSilentWatchBehindARefusalIsFoundBeforeItsNewsCount(@ForAll @IntRange(max = 1_000) int seed,
+            @ForAll @IntRange(max = 400) int beyond, @ForAll @IntRange(min = 1, max = 5) int refusals) {
+        AskedSchedule schedule = new AskedSchedule(10_000, seed);
+        schedule.answered(schedule.call(false), beyond * 1_000_000L, true);
+        schedule.refused(schedule.call(true));
+        for (int i = 1; i < refusals; i++) {
+            schedule.refused(schedule.call(false));
+        }
+        Schedule.Call watch = schedule.call(false);
+        assertThat(watch.all() + schedule.silent(watch) + beyond).isLessThan(Schedule.TOLD_MILLIS);
+        // What a longer one misses counts two seconds after its wait.
+        schedule.answered(watch, watch.waits() * 1_000_000L, false);
+        Schedule.Call longer = schedule.call(true);
+        assertThat(longer.all() + schedule.silent(longer) + beyond).isLessThan(longer.waits() + 2_000);
+    }
+
     /** An outage's end is heard within what counts as told, however long it was, up to half a minute. */
     @Property(seed = "1")
     void theEndOfAnOutageIsHeardInTime(@ForAll @IntRange(max = 1_000) int seed,
