Lists are read entry by entry from their bytes, and the whole one comes only where nothing else fits

Cause: a quiet watch was given up after some 4 s and the whole list asked for, read into a string, then into a tree of all of it. Bounds: 16 MB as they come (5,800 hosts at a kilobyte each, and twice as many), 20,000 entries.

--- a/src/main/java/beaconladder/lab/DiscoveryStandIn.java
+++ b/src/main/java/beaconladder/lab/DiscoveryStandIn.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -38,7 +39,9 @@
     public volatile Capacity capacity;
     /** Bytes of its answers. */
     public final AtomicLong bytes = new AtomicLong();
-    private final ChangeLog log = new ChangeLog();
+    /** What it was asked, in turn. */
+    public final List<String> paths = new CopyOnWriteArrayList<>();
+    private ChangeLog log = new ChangeLog();
 
     public DiscoveryStandIn() throws IOException {
         Tasks.spawn(() -> {
@@ -54,6 +57,12 @@
         notifyAll();
     }
 
+    /** It begins anew with this list: nothing of earlier versions is known to it. */
+    public synchronized void restart(String... entries) {
+        log = new ChangeLog();
+        list(true, entries);
+    }
+
     /** The connections that are open now fall silent for good; new ones are served. */
     public void cutOff() {
         age.incrementAndGet();
@@ -73,6 +82,7 @@
                 }
                 calls.incrementAndGet();
                 String path = head.toString(StandardCharsets.US_ASCII).split(" ")[1];
+                paths.add(path);
                 Capacity bears = capacity;
                 if (bears != null && !bears.serve(lines(path))) {
                     socket.getOutputStream().write(("HTTP/1.1 503 Service Unavailable\r\n"
--- a/src/main/java/beaconladder/roster/HttpGet.java
+++ b/src/main/java/beaconladder/roster/HttpGet.java
@@ -22,8 +22,10 @@
  * of Apache HttpCore; what is bounded here is the whole call, however its bytes drip.
  */
 public final class HttpGet {
-    /** A list of some thousand hosts; a body is refused beyond it. */
+    /** What is taken into memory at once; a body is refused beyond it. */
     private static final int LONGEST_BODY = 4 << 20;
+    /** What is read as it comes: 5,800 hosts at a kilobyte each, and twice as many; 200 to 600 are usual. */
+    static final int LONGEST_STREAM = 16 << 20;
     /** An answer other than 200: somebody was there. */
     public static final class Status extends IOException {
         private static final long serialVersionUID = 1L;
@@ -72,6 +74,11 @@
         close();
     }
 
+    /** Reads a body as it comes, up to its end. */
+    interface Reader<T> {
+        T read(InputStream body) throws IOException, Json.Fault;
+    }
+
     /**
      * The body of a 200 answer; anything else is an exception, after which the connection is a new one.
      *
@@ -79,7 +86,11 @@
      * @throws SocketTimeoutException where it is not over by then
      */
     public String get(String path, int millis) throws IOException {
-        return get(path, millis, millis);
+        try {
+            return get(path, millis, millis, HttpGet::text);
+        } catch (Json.Fault e) {
+            throw new IOException(e);
+        }
     }
 
     /**
@@ -87,7 +98,7 @@
      *
      * @param tail milliseconds from the answer's first byte to its last
      */
-    public String get(String path, int millis, int tail) throws IOException {
+    <T> T get(String path, int millis, int tail, Reader<T> reader) throws IOException, Json.Fault {
         long until = System.nanoTime() + millis * 1_000_000L;
         boolean keep = false;
         try {
@@ -110,11 +121,11 @@
             request.setHeader("Accept", "application/json");
             HttpCoreContext context = HttpCoreContext.create();
             ClassicHttpResponse answer = CALLS.execute(request, now.http, context);
-            String body = body(answer.getEntity());
             int code = answer.getCode();
             if (code != 200 && !(mistakes && code == 400)) {
                 throw new Status(code, answer.getReasonPhrase());
             }
+            T body = reader.read(stream(answer.getEntity()));
             keep = CALLS.keepAlive(request, answer, now.http, context);
             return body;
         } catch (HttpException e) {
@@ -126,13 +137,39 @@
         }
     }
 
-    private static String body(HttpEntity entity) throws IOException {
+    private static InputStream stream(HttpEntity entity) throws IOException {
         if (entity == null) {
-            return "";
+            return InputStream.nullInputStream();
         }
-        InputStream in = entity.getContent();
-        byte[] bytes = entity.getContentLength() > LONGEST_BODY ? null : in.readNBytes(LONGEST_BODY + 1);
-        if (bytes == null || bytes.length > LONGEST_BODY) {
+        return new FilterInputStream(entity.getContent()) {
+            private long left = LONGEST_STREAM;
+
+            @Override
+            public int read() throws IOException {
+                int c = in.read();
+                take(c < 0 ? 0 : 1);
+                return c;
+            }
+
+            @Override
+            public int read(byte[] into, int from, int most) throws IOException {
+                int n = in.read(into, from, most);
+                take(Math.max(0, n));
+                return n;
+            }
+
+            private void take(int bytes) throws IOException {
+                left -= bytes;
+                if (left < 0) {
+                    throw new IOException("an answer that is too long");
+                }
+            }
+        };
+    }
+
+    private static String text(InputStream body) throws IOException {
+        byte[] bytes = body.readNBytes(LONGEST_BODY + 1);
+        if (bytes.length > LONGEST_BODY) {
             throw new IOException("an answer that is too long");
         }
         return new String(bytes, StandardCharsets.UTF_8);
--- a/src/main/java/beaconladder/roster/Json.java
+++ b/src/main/java/beaconladder/roster/Json.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import java.io.IOException;
+import java.io.InputStream;
 import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -51,16 +52,27 @@
             }
             return value;
         } catch (JsonProcessingException e) {
-            // Where it began, of a text that ends too soon, is of no help to who is told the place.
-            throw new Fault(e.getLocation() == null ? 0 : e.getLocation().getCharOffset(),
-                    e.getOriginalMessage().replaceFirst(" \\((start marker|for \\w+ starting) at .*", ""));
+            throw fault(e);
         } catch (IOException e) {
             throw new Fault(0, e.toString());
         }
     }
 
+    /** Reads bytes as they come; the place in a fault is then that of a byte. */
+    static JsonParser parser(InputStream in) throws IOException {
+        return FACTORY.createParser(in);
+    }
+
+    static Fault fault(JsonProcessingException e) {
+        long at = e.getLocation() == null ? 0
+                : Math.max(e.getLocation().getCharOffset(), e.getLocation().getByteOffset());
+        // Where it began, of a text that ends too soon, is of no help to who is told the place.
+        return new Fault(at,
+                e.getOriginalMessage().replaceFirst(" \\((start marker|for \\w+ starting) at .*", ""));
+    }
+
     /** The value that begins with the present token. */
-    private static Object value(JsonParser json) throws IOException, Fault {
+    static Object value(JsonParser json) throws IOException, Fault {
         switch (json.currentToken()) {
             case START_OBJECT -> {
                 Map<String, Object> map = new LinkedHashMap<>();
--- a/src/main/java/beaconladder/roster/Watch.java
+++ b/src/main/java/beaconladder/roster/Watch.java
@@ -1,7 +1,6 @@
 package beaconladder.roster;
 
 import java.io.IOException;
-import java.math.BigDecimal;
 import java.net.InetSocketAddress;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
@@ -95,13 +94,14 @@
             Schedule.Call call = schedule.call(goesOn);
             long from = System.nanoTime();
             try {
-                String body = asked.get(version < 0 ? "/v1/servers"
-                        : "/v1/servers?index=" + version + "&wait=" + call.waits(), call.all(), call.tail());
+                ListReader.News news = asked.get(version < 0 ? "/v1/servers"
+                        : "/v1/servers?index=" + version + "&wait=" + call.waits(), call.all(), call.tail(),
+                        ListReader::read);
                 if (asked != http) {
                     continue;
                 }
                 long before = version;
-                version = take(body, before);
+                version = take(news, before);
                 goesOn = true;
                 if (!troubles.isEmpty()) {
                     LOG.info("discovery answers again");
@@ -125,8 +125,8 @@
                     rest(schedule.refused(call));
                 } else {
                     // What can't be read, or does not fit what is held, is asked for whole.
-                    version = e instanceof Unfit || e instanceof Json.Fault || e instanceof HttpGet.Status
-                            ? -1 : version;
+                    version = e instanceof ListReader.Unfit || e instanceof Json.Fault
+                            || e instanceof HttpGet.Status ? -1 : version;
                     rest(schedule.failed());
                 }
             } catch (RuntimeException | Error e) {
@@ -156,62 +156,29 @@
         }
     }
 
-    /** An answer that can't be read, or does not fit what is held; only the whole list helps. */
-    private static final class Unfit extends IOException {
-        private static final long serialVersionUID = 1L;
-
-        Unfit(String cause) {
-            super(cause);
-        }
-    }
-
     /** Tells the news since that version, or since ever; returns their version. */
-    private long take(String body, long since) throws Json.Fault, IOException {
-        if (!(Json.read(body) instanceof Map<?, ?> news)) {
-            throw new Unfit("no list of hosts");
+    private long take(ListReader.News news, long since) throws IOException {
+        // One that goes back is of a discovery that began anew, and knows nothing of what we hold; nor can
+        // there be changes without a newer version.
+        if (!news.whole() && (news.version() < since
+                || news.version() == since && !news.entries().isEmpty())) {
+            throw new ListReader.Unfit("changes up to version " + news.version() + " since " + since);
         }
-        List<Entry> entries = entries(news);
-        boolean whole = Boolean.TRUE.equals(news.get("full"));
-        // Without a version the next call would ask for the whole list again, in a spin.
-        if (!(news.get("version") instanceof BigDecimal number) || number.signum() < 0) {
-            throw new Unfit("a list without its version");
-        }
-        long version = number.longValue();
-        // One that goes back is of a discovery that began anew, and knows nothing of what we hold.
-        if (!whole && version < since) {
-            throw new Unfit("changes up to version " + version + " behind version " + since);
-        }
-        if (whole || !entries.isEmpty()) {
-            listener.listed(whole, entries);
+        if (news.whole() || !news.entries().isEmpty()) {
+            listener.listed(news.whole(), news.entries());
         }
         answered = true;
-        return version;
+        return news.version();
     }
 
     /** The entries of a list; one that can't be read makes the whole of it void. */
     public static List<Entry> entries(Map<?, ?> news) throws IOException {
         if (!(news.get("servers") instanceof List<?> list)) {
-            throw new Unfit("no list of hosts");
+            throw new IOException("no list of hosts");
         }
         List<Entry> entries = new ArrayList<>();
         for (Object each : list) {
-            if (!(each instanceof Map<?, ?> e) || !(e.get("id") instanceof String id)
-                    || !(e.get("cell") instanceof BigDecimal cell)) {
-                throw new Unfit("an entry without id or group");
-            }
-            State state = switch (String.valueOf(e.get("state"))) {
-                case "Ready" -> State.READY;
-                case "Terminating" -> State.DRAINING;
-                case "Gone" -> State.GONE;
-                default -> throw new Unfit("an unknown state " + e.get("state"));
-            };
-            InetSocketAddress address = e.get("addr") instanceof String a ? address(a) : null;
-            if (address == null && state != State.GONE) {
-                throw new Unfit("no address of " + id);
-            }
-            long launched = e.get("started_ms") instanceof BigDecimal started ? started.longValue() : 0;
-            entries.add(new Entry(id, address, String.valueOf(e.get("zone")), cell.intValue(), state,
-                    "leader".equals(e.get("role")), launched));
+            entries.add(ListReader.entry(each));
         }
         return entries;
     }
--- /dev/null
+++ b/src/test/java/beaconladder/roster/ListReaderTest.java
@@ -0,0 +1,148 @@
+package beaconladder.roster;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayInputStream;
+import java.io.CharConversionException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+class ListReaderTest {
+    private static final ObjectMapper WRITER = new ObjectMapper();
+
+    /** Entry by entry, indented or not, a list is what its tree says. */
+    @Property(tries = 300, seed = "1")
+    void aListIsReadAsItsTreeIs(@ForAll("lists") Map<String, Object> list) throws Exception {
+        String text = WRITER.writeValueAsString(list);
+        List<Watch.Entry> entries = Watch.entries((Map<?, ?>) Json.read(text));
+        ListReader.News news = read(text);
+        assertThat(news.entries()).isEqualTo(entries);
+        assertThat(news.whole()).isEqualTo(list.get("full"));
+        assertThat(news.version()).isEqualTo(((Number) list.get("version")).longValue());
+        assertThat(read(WRITER.writerWithDefaultPrettyPrinter().writeValueAsString(list))).isEqualTo(news);
+    }
+
+    /** Whatever is missing at its end, however whole its entries: it is no list. */
+    @Property(tries = 300, seed = "1")
+    void whatBreaksOffIsNoList(@ForAll("lists") Map<String, Object> list, @ForAll int at) throws Exception {
+        String text = WRITER.writeValueAsString(list);
+        assertThatThrownBy(() -> read(text.substring(0, Math.floorMod(at, text.length()))))
+                .isInstanceOfAny(Json.Fault.class, ListReader.Unfit.class);
+    }
+
+    /** Any bytes at all are a list or refused, never anything else. */
+    @Property(tries = 500, seed = "1")
+    void anyBytesAreReadOrRefused(@ForAll byte[] bytes) throws IOException {
+        try {
+            ListReader.read(new ByteArrayInputStream(bytes));
+        } catch (Json.Fault | ListReader.Unfit e) {
+            assertThat(e.getMessage()).isNotEmpty();
+        } catch (CharConversionException e) {
+            // Bytes that are no text in any encoding.
+            assertThat(e.getMessage()).isNotEmpty();
+        }
+    }
+
+    @Test
+    void whatIsNoListIsNamed() {
+        String good = entry(1);
+        Map<String, String> cases = new LinkedHashMap<>();
+        cases.put("[]", "no list of hosts");
+        cases.put("{\"version\":1}", "no list of hosts");
+        cases.put("{\"version\":1,\"servers\":{}}", "no list of hosts");
+        cases.put("{\"servers\":[]}", "a list without its version");
+        cases.put("{\"version\":-1,\"servers\":[]}", "a list without its version");
+        cases.put("{\"version\":1,\"servers\":[" + good + "]} {}", "more after the list of hosts");
+        cases.put("{\"version\":1,\"servers\":[" + good + ",7]}", "an entry without id or group");
+        cases.put("{\"version\":1,\"servers\":[" + good + "," + good.replace("Ready", "Off") + "]}",
+                "an unknown state Off");
+        cases.put("{\"version\":1,\"servers\":[" + good.replace("\"kind\"", "\"id\"") + "]}",
+                "Duplicate field 'id'");
+        cases.put("{\"version\":1,\"version\":1,\"servers\":[]}", "Duplicate field 'version'");
+        cases.put("{\"version\":1,\"servers\":[" + good.replace("\"weight\":1.0", "\"weight\":1e999999999")
+                + "]}", "a number out of range");
+        cases.forEach((text, cause) -> assertThatThrownBy(() -> read(text)).hasMessageContaining(cause));
+    }
+
+    /** A body that would fill the memory with entries ends before it does. */
+    @Test
+    void aListOfTooManyHostsIsRefused() {
+        String some = IntStream.range(0, ListReader.MOST_ENTRIES + 1).mapToObj(ListReaderTest::entry)
+                .collect(Collectors.joining(","));
+        assertThatThrownBy(() -> read("{\"version\":1,\"servers\":[" + some + "]}"))
+                .hasMessageContaining("more than");
+    }
+
+    /** As many hosts as there will be, indented by anyone. */
+    @Test
+    void fiveThousandEightHundredIndentedHostsFit() throws Exception {
+        String text = "{\"version\":1,\"full\":true,\"servers\":[" + IntStream.range(0, 5_800)
+                .mapToObj(ListReaderTest::entry).collect(Collectors.joining(",")) + "]}";
+        String margin = "\n" + " ".repeat(70) + "\"";
+        String indented = text.replace(",\"", "," + margin).replace("{\"", "{" + margin)
+                .replace(":", " : ").replace("127.0.0.1 : ", "127.0.0.1:");
+        assertThat(indented.length()).isBetween(4 << 20, HttpGet.LONGEST_STREAM);
+        assertThat(read(indented).entries()).hasSize(5_800).isEqualTo(read(text).entries());
+    }
+
+    // ---- Helpers ------------------------------------------------------------------------------------------
+
+    private static ListReader.News read(String text) throws IOException, Json.Fault {
+        InputStream bytes = new ByteArrayInputStream(text.getBytes(StandardCharsets.UTF_8));
+        return ListReader.read(bytes);
+    }
+
+    private static String entry(int i) {
+        return "{\"id\":\"s-" + i + "\",\"addr\":\"127.0.0.1:" + (1 + i % 65_535) + "\",\"zone\":\"a\","
+                + "\"kind\":\"m2\",\"cell\":" + i / 3 + ",\"state\":\"Ready\",\"weight\":1.0,"
+                + "\"started_ms\":1767225600123,\"role\":\"leader\"}";
+    }
+
+    @Provide
+    Arbitrary<Map<String, Object>> lists() {
+        Arbitrary<Map<String, Object>> entries = Combinators.combine(
+                Arbitraries.strings().ofMinLength(1).ofMaxLength(8),
+                Arbitraries.integers().between(1, 65_535), Arbitraries.of("a", "b", "ü"),
+                Arbitraries.of("Ready", "Terminating", "Gone"), Arbitraries.longs().between(0, 1L << 45),
+                Arbitraries.of("leader", "follower")).as((id, port, zone, state, launched, role) -> {
+                    Map<String, Object> entry = new LinkedHashMap<>();
+                    entry.put("id", id);
+                    entry.put("addr", "10.0.0.1:" + port);
+                    entry.put("zone", zone);
+                    entry.put("kind", Map.of("of", List.of(1, 2.5, "x")));
+                    entry.put("cell", port % 7);
+                    entry.put("state", state);
+                    entry.put("weight", 1.5);
+                    entry.put("started_ms", launched);
+                    entry.put("role", role);
+                    return entry;
+                });
+        return Combinators.combine(entries.list().ofMaxSize(5), Arbitraries.longs().between(0, 1L << 50),
+                Arbitraries.of(true, false), Arbitraries.of(true, false)).as((all, version, full, first) -> {
+                    Map<String, Object> list = new LinkedHashMap<>();
+                    if (first) {
+                        list.put("servers", all);
+                    }
+                    list.put("version", version);
+                    list.put("full", full);
+                    list.put("more", List.of(Map.of("servers", List.of(7))));
+                    list.putIfAbsent("servers", all);
+                    return list;
+                });
+    }
+}
