The module looks only at groups that hold txns or have changed, not at all of them

Agenda now keeps the listed groups with txns on hold, in the order in which groups were first listed, and those touched since the last look; HostRecord tells it of changes instead of setting a mark.

--- a/src/main/java/beaconladder/HostRecord.java
+++ b/src/main/java/beaconladder/HostRecord.java
@@ -6,6 +6,7 @@
 import beaconladder.api.Router.Outcome;
 import beaconladder.api.Router.Role;
 import beaconladder.api.Router.Word;
+import beaconladder.fleet.Agenda;
 import beaconladder.fleet.Group;
 import beaconladder.fleet.Host;
 import beaconladder.fleet.Submission;
@@ -15,7 +16,7 @@
 import java.util.Set;
 
 /** What is known of positions, roles and states. */
-record HostRecord(Traffic traffic, Health health, Targets targets, Set<Group> groups, Set<Host> idle) {
+record HostRecord(Traffic traffic, Health health, Targets targets, Agenda agenda, Set<Host> idle) {
     private void hear(Host host, Word word, boolean direct, long now) {
         Group group = host.group;
         if (word.position() != Word.NONE || word.holds() >= 0) {
@@ -27,7 +28,7 @@
         }
         if (word.position() > host.position) {
             host.position = word.position();
-            group.changed = true;
+            agenda.change(group);
         }
         long stamp = word.position() == Word.NONE ? now : word.position();
         // A report is older than the answer that it came with: what that denied it does not bring back.
@@ -44,7 +45,7 @@
 
     void probed(Host host, Outcome outcome, Word report, long now) {
         host.probeOut = false;
-        host.group.changed = true;
+        agenda.change(host.group);
         if (outcome == Outcome.COMMITTED) {
             // What was held against a host that could not be reached is settled by reaching it; silence is
             // not.
@@ -64,9 +65,9 @@
 
     void listed(Host host, boolean leader, Host.State state, long launched, long now) {
         Group group = host.group;
-        group.changed = true;
+        agenda.change(group);
         if (!group.members.contains(host)) {
-            groups.add(group);
+            agenda.list(group);
             group.members.add(host);
             host.launched = launched;
         } else if (launched > host.launched) {
@@ -113,7 +114,7 @@
         s.ended = true;
         s.neverRan = outcome.provesNotRun();
         host.out.remove(s);
-        host.group.changed = true;
+        agenda.change(host.group);
         if (host.out.isEmpty() && host.times.since(now - 10_000 * MS) < 3) {
             idle.add(host);
         }
--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -8,7 +8,6 @@
 import beaconladder.api.Router;
 import beaconladder.api.Verdict;
 import beaconladder.fleet.Agenda;
-import beaconladder.fleet.Group;
 import beaconladder.fleet.Host;
 import beaconladder.fleet.Submission;
 import beaconladder.fleet.Traffic;
@@ -34,7 +33,6 @@
  * it names, repeat until it names none, and come back at its time or with the next news.
  */
 public final class Logic implements Router {
-    private final Set<Group> groups = new LinkedHashSet<>();
     private final Agenda agenda = new Agenda();
     /** Hosts with connections that this router will hardly use again soon. */
     private final Set<Host> idle = new LinkedHashSet<>();
@@ -60,8 +58,8 @@
         ends = new Ends(traffic);
         HostRoom room = new HostRoom(traffic, health, times);
         choice = new Choice(traffic, health, ramp, times, room, targets, worth, chance);
-        probing = new Probing(traffic, health, targets, choice, worth, groups, agenda, chance);
-        record = new HostRecord(traffic, health, targets, groups, idle);
+        probing = new Probing(traffic, health, targets, choice, worth, agenda, chance);
+        record = new HostRecord(traffic, health, targets, agenda, idle);
     }
 
     @Override
@@ -126,7 +124,7 @@
         if (host != null) {
             return Verdict.send(host, times.timeout(txn, now));
         }
-        txn.group.held.add(txn);
+        agenda.hold(txn);
         agenda.schedule(txn, times.nextLook(txn, now));
         return Verdict.waiting();
     }
@@ -209,12 +207,7 @@
     @Override
     public Pause pause(long now) {
         Set<Txn> again = agenda.due(now);
-        for (Group group : groups) {
-            if (group.changed) {
-                group.changed = false;
-                again.addAll(group.held);
-            }
-        }
+        agenda.changed().forEach(group -> again.addAll(group.held));
         List<Txn> order = new ArrayList<>(again);
         double[] weights = worth.weights();
         // Of equal worth the one with most time left goes first: with more work than room, the oldest first
--- a/src/main/java/beaconladder/Probing.java
+++ b/src/main/java/beaconladder/Probing.java
@@ -13,12 +13,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Set;
 import java.util.SplittableRandom;
 
 /** Which members are asked for the sake of held txns, and when. */
-record Probing(Traffic traffic, Health health, Targets targets, Choice choice, Worth worth, Set<Group> groups,
-        Agenda agenda, SplittableRandom chance) {
+record Probing(Traffic traffic, Health health, Targets targets, Choice choice, Worth worth, Agenda agenda,
+        SplittableRandom chance) {
     /**
      * Members to ask, each for the sake of a held txn that pays for it: for one that needs the primary the
      * member taken for it, or, where that is lost, the member furthest on; for a read the members that may be
@@ -28,7 +27,7 @@
     List<Host> probes(long now) {
         List<Host> ask = new ArrayList<>();
         agenda.probe = NEVER;
-        for (Group group : groups) {
+        for (Group group : agenda.holding()) {
             long due = group.members.stream().filter(h -> h.probeOut && !health.mute(h, now)).count();
             for (Txn txn : group.held) {
                 if (txn.want == Txn.Want.NOTHING || !choice.mayAsk(txn)) {
--- a/src/main/java/beaconladder/fleet/Agenda.java
+++ b/src/main/java/beaconladder/fleet/Agenda.java
@@ -1,16 +1,79 @@
 package beaconladder.fleet;
 
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 
-/** When txns are to be looked at again, and when a member may be asked next for the sake of one. */
+/**
+ * When txns are to be looked at again, when a member may be asked next for the sake of one, and which groups
+ * are to be looked at. That are those with txns on hold: a look at every group at each event would cost the
+ * more the larger the fleet is, and find nothing in the others.
+ */
 public final class Agenda {
     private final TreeSet<Txn> looks =
             new TreeSet<>(Comparator.<Txn>comparingLong(t -> t.look).thenComparingLong(t -> t.number));
+    /** Listed groups with txns on hold, in the order in which groups were first listed. */
+    private final TreeSet<Group> holding = new TreeSet<>(Comparator.comparingInt(group -> group.place));
+    /** Groups of which something has changed since the last look. */
+    private final Set<Group> touched = new HashSet<>();
+    private int listed;
     public long probe = Long.MAX_VALUE;
 
+    /** A member of this group has been listed; the first time gives the group its place. */
+    public void list(Group group) {
+        if (group.place < 0) {
+            group.place = listed++;
+            if (!group.held.isEmpty()) {
+                holding.add(group);
+            }
+        }
+    }
+
+    /** Something has changed that may let the group's txns go. */
+    public void change(Group group) {
+        group.changed = true;
+        touched.add(group);
+    }
+
+    /** This txn waits. */
+    public void hold(Txn txn) {
+        Group group = txn.group;
+        if (group.held.isEmpty()) {
+            // No look clears the mark of a group without txns on hold, but for those touched since.
+            group.changed = touched.contains(group);
+            if (group.place >= 0) {
+                holding.add(group);
+            }
+        }
+        group.held.add(txn);
+    }
+
+    /** The groups with txns on hold, in their order; not a copy. */
+    public Collection<Group> holding() {
+        return holding;
+    }
+
+    /** Those of them that have changed since this was last asked. */
+    public List<Group> changed() {
+        for (Group group : touched) {
+            group.changed &= !group.held.isEmpty();
+        }
+        touched.clear();
+        List<Group> changed = new ArrayList<>();
+        for (Group group : holding) {
+            if (group.changed) {
+                group.changed = false;
+                changed.add(group);
+            }
+        }
+        return changed;
+    }
+
     public void schedule(Txn txn, long look) {
         looks.remove(txn);
         txn.look = look;
@@ -21,7 +84,9 @@
     public void drop(Txn txn) {
         looks.remove(txn);
         txn.look = Long.MAX_VALUE;
-        txn.group.held.remove(txn);
+        if (txn.group.held.remove(txn) && txn.group.held.isEmpty()) {
+            holding.remove(txn.group);
+        }
     }
 
     /** Takes out those that are due by now, in their order. */
--- a/src/main/java/beaconladder/fleet/Group.java
+++ b/src/main/java/beaconladder/fleet/Group.java
@@ -8,6 +8,8 @@
 /** A primary and its replicas. */
 public final class Group {
     public final int number;
+    /** Which listed group of its router it is, counted from the first; less than 0 before it is listed. */
+    public int place = -1;
     /** The members that the roster has named, in that order; one that is gone stays until it is let go. */
     public final List<Host> members = new ArrayList<>();
     /** The member taken for the primary, or null. */
--- /dev/null
+++ b/src/test/java/beaconladder/fleet/AgendaTest.java
@@ -0,0 +1,97 @@
+package beaconladder.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class AgendaTest {
+    private final Agenda agenda = new Agenda();
+    private final TxnType type = TxnType.read(Map.of("request_classes.count", "1")).get(0);
+    private long taken;
+
+    private Txn txn(Group group) {
+        return new Txn(taken, type, group, 0, 0, 0, false, 0, 0, taken++);
+    }
+
+    @Test
+    void groupsWithTxnsOnHoldComeInTheOrderInWhichGroupsWereListed() {
+        Group a = new Group(9);
+        Group b = new Group(3);
+        Group never = new Group(1);
+        agenda.list(b);
+        agenda.hold(txn(a));
+        agenda.hold(txn(b));
+        agenda.hold(txn(never));
+        assertThat(agenda.holding()).containsExactly(b);
+        agenda.list(a);
+        agenda.list(b);
+        assertThat(agenda.holding()).containsExactly(b, a);
+        List.copyOf(b.held).forEach(agenda::drop);
+        assertThat(agenda.holding()).containsExactly(a);
+    }
+
+    /** What changed before a look that found nothing on hold there is no reason to look at later txns. */
+    @Test
+    void aChangeIsForgottenByTheNextLookThoughNothingIsOnHold() {
+        Group group = new Group(1);
+        agenda.list(group);
+        agenda.change(group);
+        assertThat(agenda.changed()).isEmpty();
+        agenda.hold(txn(group));
+        assertThat(agenda.changed()).isEmpty();
+        agenda.change(group);
+        assertThat(agenda.changed()).containsExactly(group);
+        assertThat(agenda.changed()).isEmpty();
+    }
+
+    /** The same answers as a walk of all groups at each look, which this stands in for. */
+    @Test
+    void itNamesWhatAWalkOfAllGroupsWouldName() {
+        SplittableRandom chance = new SplittableRandom(1);
+        List<Group> groups = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            groups.add(new Group(i));
+        }
+        Set<Group> listed = new LinkedHashSet<>();
+        Set<Group> marked = new LinkedHashSet<>();
+        List<Txn> held = new ArrayList<>();
+        int named = 0;
+        for (int i = 0; i < 50_000; i++) {
+            Group group = groups.get(chance.nextInt(groups.size()));
+            int kind = chance.nextInt(10);
+            if (kind == 0) {
+                agenda.list(group);
+                listed.add(group);
+            } else if (kind < 4 && listed.contains(group)) {
+                agenda.change(group);
+                marked.add(group);
+            } else if (kind < 6) {
+                Txn txn = txn(group);
+                agenda.hold(txn);
+                held.add(txn);
+            } else if (kind < 8 && !held.isEmpty()) {
+                agenda.drop(held.remove(chance.nextInt(held.size())));
+            } else {
+                if (kind == 8 && listed.contains(group)) {
+                    // The desk marks a group so, and a look follows at once.
+                    group.changed = true;
+                    marked.add(group);
+                }
+                assertThat(agenda.holding()).containsExactlyElementsOf(
+                        listed.stream().filter(g -> !g.held.isEmpty()).toList());
+                List<Group> changed = agenda.changed();
+                assertThat(changed).containsExactlyElementsOf(
+                        listed.stream().filter(g -> marked.contains(g) && !g.held.isEmpty()).toList());
+                named += changed.size();
+                marked.clear();
+            }
+        }
+        assertThat(named).isGreaterThan(1_000);
+    }
+}
