What is asked at every event is kept: the mix of types, settings as numbers, the last quantile

Seen in samples of the running module at 1,933 groups once no group was walked: counting 256 types anew for each held txn and each pause, parsing settings, sorting samples for the same quantile, weights where nothing is to be ordered. Each is a pure function of what changes far more seldom: TypeMix counts as txns come, Traffic keeps its numbers and the value asked, Samples the quantile last asked for; how many answers of a group are due is counted only for a txn that may ask.

--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -88,7 +88,7 @@
             txn.known = true;
             txn.target = targets.sessionTarget(txn, now);
             txn.slaEnd = times.slaEnd(txn);
-            traffic.mix.add(txn.type.place(), 0, now);
+            traffic.comes(txn.type);
             txn.group.comes.add(0, 0, now);
             ramp.drawTickets(txn.group, now);
         }
@@ -209,7 +209,7 @@
         Set<Txn> again = agenda.due(now);
         agenda.changed().forEach(group -> again.addAll(group.held));
         List<Txn> order = new ArrayList<>(again);
-        double[] weights = worth.weights();
+        double[] weights = order.size() < 2 ? new double[0] : worth.weights();
         // Of equal worth the one with most time left goes first: with more work than room, the oldest first
         // would have each txn served when it is nearly too late, and many when it is.
         order.sort(Comparator.<Txn>comparingDouble(t -> -worth.of(t, now) * weights[t.type.place()])
--- a/src/main/java/beaconladder/Probing.java
+++ b/src/main/java/beaconladder/Probing.java
@@ -28,7 +28,7 @@
         List<Host> ask = new ArrayList<>();
         agenda.probe = NEVER;
         for (Group group : agenda.holding()) {
-            long due = group.members.stream().filter(h -> h.probeOut && !health.mute(h, now)).count();
+            int due = -1;
             for (Txn txn : group.held) {
                 if (txn.want == Txn.Want.NOTHING || !choice.mayAsk(txn)) {
                     continue;
@@ -40,7 +40,8 @@
                 }
                 // As many at once as a tenth of its value pays for, since one or two that answer are enough.
                 double tenth = 0.1 * worth.of(txn, now);
-                int pays = (int) Math.max(1, Math.min(4, tenth / traffic.topValue / worth.fee("probe")));
+                int pays = (int) Math.max(1, Math.min(4, tenth / traffic.topValue / worth.fee("fees.probe")));
+                due = due < 0 ? answersDue(group, now) : due;
                 for (Host host : candidates(txn, now)) {
                     if (due >= pays) {
                         break;
@@ -56,6 +57,14 @@
         return ask;
     }
 
+    private int answersDue(Group group, long now) {
+        int due = 0;
+        for (Host host : group.members) {
+            due += host.probeOut && !health.mute(host, now) ? 1 : 0;
+        }
+        return due;
+    }
+
     /** When this txn may ask again: its first two probes at once, the rest an SLA time for all. */
     private long askFrom(Txn txn) {
         if (txn.asked >= 2) {
--- a/src/main/java/beaconladder/Worth.java
+++ b/src/main/java/beaconladder/Worth.java
@@ -7,7 +7,7 @@
 /** What txns and questions are worth, by the prices and the goal that are stated. */
 record Worth(Traffic traffic) {
     int budget(Txn txn) {
-        double pays = 0.15 * txn.type.value() / (fee("probe") * traffic.meanValue());
+        double pays = 0.15 * txn.type.value() / (fee("fees.probe") * traffic.meanValue());
         return (int) Math.max(1, Math.min(1_000, pays));
     }
 
@@ -18,7 +18,7 @@
      * where nothing is wrong.
      */
     boolean worthAsking() {
-        return 2 * fee("probe") <= 0.03;
+        return 2 * fee("fees.probe") <= 0.03;
     }
 
     /**
@@ -53,6 +53,6 @@
 
     /** A price, as a share of a txn; never quite nothing. */
     double fee(String name) {
-        return Math.max(1e-3, traffic.number("fees." + name, 0));
+        return Math.max(1e-3, traffic.number(name, 0));
     }
 }
--- a/src/main/java/beaconladder/fleet/Agenda.java
+++ b/src/main/java/beaconladder/fleet/Agenda.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -20,7 +19,7 @@
     /** Listed groups with txns on hold, in the order in which groups were first listed. */
     private final TreeSet<Group> holding = new TreeSet<>(Comparator.comparingInt(group -> group.place));
     /** Groups of which something has changed since the last look. */
-    private final Set<Group> touched = new HashSet<>();
+    private final List<Group> touched = new ArrayList<>();
     private int listed;
     public long probe = Long.MAX_VALUE;
 
@@ -37,7 +36,10 @@
     /** Something has changed that may let the group's txns go. */
     public void change(Group group) {
         group.changed = true;
-        touched.add(group);
+        if (!group.touched) {
+            group.touched = true;
+            touched.add(group);
+        }
     }
 
     /** This txn waits. */
@@ -45,7 +47,7 @@
         Group group = txn.group;
         if (group.held.isEmpty()) {
             // No look clears the mark of a group without txns on hold, but for those touched since.
-            group.changed = touched.contains(group);
+            group.changed = group.touched;
             if (group.place >= 0) {
                 holding.add(group);
             }
@@ -61,6 +63,7 @@
     /** Those of them that have changed since this was last asked. */
     public List<Group> changed() {
         for (Group group : touched) {
+            group.touched = false;
             group.changed &= !group.held.isEmpty();
         }
         touched.clear();
--- a/src/main/java/beaconladder/fleet/Group.java
+++ b/src/main/java/beaconladder/fleet/Group.java
@@ -26,6 +26,8 @@
     public final Set<Txn> held = new LinkedHashSet<>();
     /** Whether anything has changed for them since they were last looked at. */
     public boolean changed;
+    /** Whether that was since the last look at any group. */
+    boolean touched;
     /** Newest commit among the sessions that are no longer remembered one by one. */
     public long forgotten = Long.MIN_VALUE;
     /** How this router's recent txns of the group ended: 1 for a commit; 1 for a commit at a warm member. */
--- a/src/main/java/beaconladder/fleet/Samples.java
+++ b/src/main/java/beaconladder/fleet/Samples.java
@@ -9,6 +9,9 @@
     private final long[] at;
     private int size;
     private int next;
+    /** The share last asked for and its quantile, which stands until the next sample; under 0 for none. */
+    private double share = -1;
+    private long quantile;
 
     public Samples(int keep) {
         values = new long[keep];
@@ -19,6 +22,7 @@
     public void add(long value, long with, long now) {
         values[next] = value;
         beside[next] = with;
+        share = -1;
         at[next] = now;
         next = (next + 1) % values.length;
         size = Math.min(size + 1, values.length);
@@ -27,6 +31,7 @@
     public void clear() {
         size = 0;
         next = 0;
+        share = -1;
     }
 
     public int size() {
@@ -55,17 +60,6 @@
         return sum;
     }
 
-    /** How many have this value. */
-    public int count(long value) {
-        int n = 0;
-        for (int i = 0; i < size; i++) {
-            if (values[i] == value) {
-                n++;
-            }
-        }
-        return n;
-    }
-
     /** How many lie between these two, the lower one included. */
     public int between(long from, long to) {
         int n = 0;
@@ -92,13 +86,17 @@
     }
 
     /** The value below which this share of the samples lies; 0 without samples. */
-    public long quantile(double share) {
+    public long quantile(double of) {
         if (size == 0) {
             return 0;
         }
-        long[] sorted = Arrays.copyOf(values, size);
-        Arrays.sort(sorted);
-        return sorted[Math.min(size - 1, (int) (share * size))];
+        if (of != share) {
+            long[] sorted = Arrays.copyOf(values, size);
+            Arrays.sort(sorted);
+            share = of;
+            quantile = sorted[Math.min(size - 1, (int) (of * size))];
+        }
+        return quantile;
     }
 
     /** The middle of the window of this width that holds the most samples; 0 without samples. */
--- a/src/main/java/beaconladder/fleet/Traffic.java
+++ b/src/main/java/beaconladder/fleet/Traffic.java
@@ -1,6 +1,7 @@
 package beaconladder.fleet;
 
 import beaconladder.fleet.TxnType.Read;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -11,12 +12,16 @@
     public static final long UNBOUND = Long.MIN_VALUE;
 
     public final Map<String, String> start;
+    /** Those settings that are numbers, read once: they are asked for at every event. */
+    private final Map<String, Double> numbers = new HashMap<>();
     public final List<TxnType> types;
     public final double topValue;
     /** The tightest bound of a txn type; a second where none is stated. */
     public final long tightest;
     /** The types of the txns that came last. */
-    public final Samples mix = new Samples(256);
+    public final TypeMix mix;
+    /** Their value; less than 0 while it is to be added up anew. */
+    private double asked = -1;
     /** Times of the last answers, each with what its host had said that it held when it was sent. */
     public final Samples paces = new Samples(48);
     /** How old the positions of replicas were when they last came with a probe. */
@@ -31,6 +36,7 @@
     public Traffic(Map<String, String> start) {
         this.start = start;
         this.types = TxnType.read(start);
+        this.mix = new TypeMix(256, types.size());
         this.tightest = types.stream().filter(t -> t.read() == Read.BOUNDED).mapToLong(TxnType::bound).min()
                 .orElse(1_000 * MS);
         this.topValue = types.stream().mapToDouble(TxnType::value).max().orElse(1);
@@ -43,7 +49,16 @@
 
     /** The value of the txns that came last. */
     public double asked() {
-        return types.stream().mapToDouble(type -> mix.count(type.place()) * type.value()).sum();
+        if (asked < 0) {
+            asked = types.stream().mapToDouble(type -> mix.count(type.place()) * type.value()).sum();
+        }
+        return asked;
+    }
+
+    /** One more has come. */
+    public void comes(TxnType type) {
+        mix.add(type.place());
+        asked = -1;
     }
 
     /** The mean value of the txns that come here, in which prices are reckoned. */
@@ -58,8 +73,9 @@
 
     /** The number that a setting gives, or the one to take without it. */
     public double number(String name, double without) {
-        String given = start.get(name);
-        return given == null ? without : Double.parseDouble(given);
+        Double given = numbers.computeIfAbsent(name,
+                key -> start.containsKey(key) ? Double.valueOf(start.get(key)) : null);
+        return given == null ? without : given;
     }
 
     /** A time that is stated in microseconds, in nanoseconds; 0 without it. */
--- /dev/null
+++ b/src/main/java/beaconladder/fleet/TypeMix.java
@@ -0,0 +1,34 @@
+package beaconladder.fleet;
+
+/** Of which types the txns were that came last, counted as they come. */
+public final class TypeMix {
+    private final int[] places;
+    private final int[] counts;
+    private int size;
+    private int next;
+
+    TypeMix(int keep, int types) {
+        places = new int[keep];
+        counts = new int[types];
+    }
+
+    /** A txn of the type at this place has come; the oldest one kept makes room for it. */
+    void add(int place) {
+        if (size == places.length) {
+            counts[places[next]]--;
+        }
+        places[next] = place;
+        counts[place]++;
+        next = (next + 1) % places.length;
+        size = Math.min(size + 1, places.length);
+    }
+
+    public int size() {
+        return size;
+    }
+
+    /** How many are of the type at this place. */
+    public int count(int place) {
+        return counts[place];
+    }
+}
