--- /dev/null
+++ b/src/main/java/beaconladder/lab/scale/PositionsHosts.java
@@ -0,0 +1,81 @@
+package beaconladder.lab.scale;
+
+import beaconladder.api.Router.Role;
+import beaconladder.api.Router.Word;
+import java.util.SplittableRandom;
+
+/**
+ * Hollow hosts, in memory: groups of a primary and two replicas that never fail. A replica has applied the
+ * log up to a time that lies a constant part behind the clock, drawn for each; hosts answer after a drawn
+ * time.
+ */
+final class PositionsHosts {
+    static final long MS = 1_000_000;
+    static final int MEMBERS = 3;
+    /** How far replicas lie behind: 20 to 200 ms, so that all of them bear a bound of 500 ms. */
+    private static final long LEAST_LAG = 20 * MS;
+    private static final long MOST_LAG = 200 * MS;
+    /** A round trip within a region, and the mean of the work, as that of short statements. */
+    private static final long WAY = MS;
+    private static final long WORK = 4 * MS;
+    /** The middle of what valpo-despacho-later states for its reports: refreshed, and late by. */
+    private static final long REPORT_PERIOD = 148 * MS;
+    private static final long REPORT_DELAY = 38 * MS;
+
+    private final SplittableRandom chance;
+    private final long[] lag;
+    private final long[] phase;
+    /** How far hosts claim to be ahead of what they have; 0 for hosts that tell the truth. */
+    private final long boast;
+
+    PositionsHosts(int groups, SplittableRandom chance, long boast) {
+        this.chance = chance;
+        this.boast = boast;
+        lag = new long[groups * MEMBERS];
+        phase = new long[groups * MEMBERS];
+        for (int i = 0; i < lag.length; i++) {
+            lag[i] = isPrimary(i) ? 0 : chance.nextLong(LEAST_LAG, MOST_LAG);
+            phase[i] = chance.nextLong(REPORT_PERIOD);
+        }
+    }
+
+    int count() {
+        return lag.length;
+    }
+
+    static boolean isPrimary(int host) {
+        return host % MEMBERS == 0;
+    }
+
+    /** Up to when it has applied the log. */
+    long position(int host, long now) {
+        return now - lag[host];
+    }
+
+    /** How long a statement takes there, the way included. */
+    long work() {
+        return WAY + (long) (WORK * -StrictMath.log(1 - chance.nextDouble()));
+    }
+
+    /** How long a probe takes: the way alone. */
+    long probe() {
+        return WAY;
+    }
+
+    /** The note of an answer: exact, rounded down to a millisecond as on the wire. */
+    Word answer(int host, long now) {
+        long position = position(host, now) + boast;
+        return new Word(role(host), position - Math.floorMod(position, MS), -1);
+    }
+
+    /** The report that goes with an answer or a probe: as old as its period and its delay make it. */
+    Word report(int host, long now) {
+        long taken = now - REPORT_DELAY - Math.floorMod(now + phase[host], REPORT_PERIOD);
+        // 638 statements a second of 4 ms each are two or three at a time.
+        return new Word(role(host), position(host, taken) + boast, chance.nextInt(6));
+    }
+
+    private static Role role(int host) {
+        return isPrimary(host) ? Role.PRIMARY : Role.REPLICA;
+    }
+}
