lab.scale: how old a router's record of positions is by the number of groups, and what that costs

Positions plays the real module before hollow hosts that are well (replicas 20 to 200 ms behind) at 902 statements a second spread over 40 to 1,933 groups: age of the record at use, reads that find no fresh replica by the record and in truth, holds, reads at primaries, probes a txn, connections. No read is stale; replicas that lie 0.4 s further behind than they claim are seen to give stale reads, so the check can fail.

--- a/src/main/java/beaconladder/lab/scale/ModuleCost.java
+++ b/src/main/java/beaconladder/lab/scale/ModuleCost.java
@@ -37,7 +37,7 @@
                 new SplittableRandom(seed), 0);
         long before = heap();
         PositionsRouter router = new PositionsRouter(truth, new SplittableRandom(seed),
-                PositionsRouter.PLAIN, new Blind());
+                PositionsRouter.PLAIN, keepIdle -> new Blind());
         long heap = heap() - before;
         double best = micros(List.of(router))[0];
         Map<String, Object> figures = new LinkedHashMap<>();
@@ -55,7 +55,7 @@
     static double ratio(int few, int many, List<Double> upTo, long seed) {
         double[] micros = micros(IntStream.of(few, many).mapToObj(groups -> new PositionsRouter(
                 new PositionsHosts(groups, new SplittableRandom(seed), 0), new SplittableRandom(seed), upTo,
-                new Blind())).toList());
+                keepIdle -> new Blind())).toList());
         return micros[1] / micros[0];
     }
 
--- a/src/main/java/beaconladder/lab/scale/PositionsHosts.java
+++ b/src/main/java/beaconladder/lab/scale/PositionsHosts.java
@@ -25,12 +25,12 @@
     private final SplittableRandom chance;
     private final long[] lag;
     private final long[] phase;
-    /** How far hosts claim to be ahead of what they have; 0 for hosts that tell the truth. */
-    private final long boast;
+    /** How far replicas lie behind what they claim; 0 for hosts that tell the truth. */
+    private final long hidden;
 
-    PositionsHosts(int groups, SplittableRandom chance, long boast) {
+    PositionsHosts(int groups, SplittableRandom chance, long hidden) {
         this.chance = chance;
-        this.boast = boast;
+        this.hidden = hidden;
         lag = new long[groups * MEMBERS];
         phase = new long[groups * MEMBERS];
         for (int i = 0; i < lag.length; i++) {
@@ -49,6 +49,10 @@
 
     /** Up to when it has applied the log. */
     long position(int host, long now) {
+        return claimed(host, now) - (isPrimary(host) ? 0 : hidden);
+    }
+
+    private long claimed(int host, long now) {
         return now - lag[host];
     }
 
@@ -64,7 +68,7 @@
 
     /** The note of an answer: exact, rounded down to a millisecond as on the wire. */
     Word answer(int host, long now) {
-        long position = position(host, now) + boast;
+        long position = claimed(host, now);
         return new Word(role(host), position - Math.floorMod(position, MS), -1);
     }
 
@@ -72,7 +76,7 @@
     Word report(int host, long now) {
         long taken = now - REPORT_DELAY - Math.floorMod(now + phase[host], REPORT_PERIOD);
         // 638 statements a second of 4 ms each are two or three at a time.
-        return new Word(role(host), position(host, taken) + boast, chance.nextInt(6));
+        return new Word(role(host), claimed(host, taken), chance.nextInt(6));
     }
 
     private static Role role(int host) {
--- a/src/main/java/beaconladder/lab/scale/PositionsRouter.java
+++ b/src/main/java/beaconladder/lab/scale/PositionsRouter.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import java.util.function.LongFunction;
 
 /**
  * One hollow router in virtual time: the real module and its real rounds, as behind the desk (a look after
@@ -25,8 +26,8 @@
     static final long MS = PositionsHosts.MS;
     /** Statements a second at one router, the users' figure. */
     static final double RATE = 902;
-    /** The users' routers. */
-    static final int ROUTERS = 4_100;
+    /** Statements a second at one host of the users' fleet, of all routers. */
+    private static final double HOST_RATE = 638;
     static final int BOUNDED = 0;
     static final int SESSION = 1;
     static final int ANY = 2;
@@ -78,13 +79,15 @@
     private long numbered;
     private long taken;
 
-    PositionsRouter(PositionsHosts truth, SplittableRandom chance, List<Double> upTo, Watcher watcher) {
+    /** Its watcher is told how long a connection may be idle and still be used. */
+    PositionsRouter(PositionsHosts truth, SplittableRandom chance, List<Double> upTo,
+            LongFunction<Watcher> watcher) {
         this.upTo = upTo;
         this.truth = truth;
         this.chance = chance;
-        this.watcher = watcher;
-        logic = new Logic(chance.nextLong(), settings());
+        logic = new Logic(chance.nextLong(), settings(routers(truth.count())));
         rounds = new Rounds(logic, this);
+        this.watcher = watcher.apply(logic.keepIdle());
         for (int i = 0; i < truth.count(); i++) {
             if (PositionsHosts.isPrimary(i)) {
                 groups.add(new Group(groups.size()));
@@ -97,8 +100,13 @@
         at(now, this::comes);
     }
 
+    /** How many routers give each of these hosts the users' rate: 4,102 before 5,799 hosts. */
+    static int routers(int hosts) {
+        return (int) Math.max(1, Math.round(HOST_RATE * hosts / RATE));
+    }
+
     /** What the router is told at start, as valpo-despacho-later tells it, but for the number of routers. */
-    private static Map<String, String> settings() {
+    private static Map<String, String> settings(int routers) {
         Map<String, String> start = new LinkedHashMap<>();
         start.put("family_info.freshness", "recent,own_writes,loose,update");
         start.put("family_info.oldest_data_us", "500000,0,0,0");
@@ -125,7 +133,7 @@
         start.put("rules.cold_share", "0.2");
         start.put("rules.fall_us", "1000000");
         start.put("rules.fall_multiple", "3");
-        start.put("replicas_of_me", String.valueOf(ROUTERS));
+        start.put("replicas_of_me", String.valueOf(routers));
         start.put("round_us", "5000");
         start.put("my_zone", "0");
         return start;
@@ -135,15 +143,6 @@
         return now;
     }
 
-    long keepIdle() {
-        return logic.keepIdle();
-    }
-
-    /** Txns that have come in. */
-    long taken() {
-        return taken;
-    }
-
     /** Plays until so many txns in all have come in. */
     void play(long txns) {
         while (taken < txns) {
--- /dev/null
+++ b/src/main/java/beaconladder/lab/scale/PositionsSight.java
@@ -0,0 +1,190 @@
+package beaconladder.lab.scale;
+
+import beaconladder.fleet.Host;
+import beaconladder.fleet.Submission;
+import beaconladder.fleet.Txn;
+import beaconladder.fleet.TxnType.Read;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+
+/** What is seen of a hollow router's record of positions, judged by what its hosts really have. */
+final class PositionsSight implements PositionsRouter.Watcher {
+    private static final long MS = PositionsHosts.MS;
+    private static final long LOOK = 100 * MS;
+    private static final List<Read> READS = List.of(Read.BOUNDED, Read.SESSION, Read.ANY);
+
+    /** Counts of one kind of read. */
+    private static final class Kind {
+        long reads;
+        /** No replica was fresh enough by the record when it came; by what the hosts have. */
+        long noneByRecord;
+        long noneInTruth;
+        long held;
+        long toPrimary;
+        long neverSent;
+        long stale;
+        /** Of those held. */
+        final Histogram heldFor = new Histogram(3);
+        /** When sent: how long ago the host had last spoken, and how far back its known position was. */
+        final Histogram heardAgo = new Histogram(3);
+        final Histogram positionAge = new Histogram(3);
+    }
+
+    private final PositionsHosts truth;
+    private final Map<Read, Kind> kinds = new LinkedHashMap<>();
+    /** How long ago a replica of the group had last spoken when a read came. */
+    private final Histogram heardBefore = new Histogram(3);
+    private final PositionsLines lines;
+    private final PositionsLines kept;
+    private long txns;
+    private long probes;
+    private long nextLook;
+
+    PositionsSight(PositionsHosts truth, long keepIdle) {
+        this.truth = truth;
+        lines = new PositionsLines(truth.count(), keepIdle, true);
+        kept = new PositionsLines(truth.count(), keepIdle, false);
+        READS.forEach(read -> kinds.put(read, new Kind()));
+    }
+
+    /** From here on it counts anew. */
+    void reset() {
+        READS.forEach(read -> kinds.put(read, new Kind()));
+        heardBefore.reset();
+        lines.reset();
+        kept.reset();
+        txns = 0;
+        probes = 0;
+    }
+
+    @Override
+    public void came(Txn txn, long now) {
+        if (now >= nextLook) {
+            nextLook = now + LOOK;
+            lines.look(now);
+            kept.look(now);
+        }
+        txns++;
+        Kind kind = kinds.get(txn.type.read());
+        if (kind == null) {
+            return;
+        }
+        kind.reads++;
+        long target = target(txn, txn.written, now);
+        boolean byRecord = false;
+        boolean inTruth = false;
+        for (Host host : txn.group.members) {
+            if (host != txn.group.primary) {
+                byRecord |= host.met && host.position >= target;
+                inTruth |= truth.position(host.id, now) >= target;
+                if (host.met) {
+                    heardBefore.recordValue((now - host.saidAt) / 1_000);
+                }
+            }
+        }
+        kind.noneByRecord += byRecord ? 0 : 1;
+        kind.noneInTruth += inTruth ? 0 : 1;
+    }
+
+    private static long target(Txn txn, long written, long now) {
+        return switch (txn.type.read()) {
+            case BOUNDED -> now - txn.type.bound();
+            case SESSION -> written;
+            default -> Long.MIN_VALUE;
+        };
+    }
+
+    @Override
+    public void sent(Submission s, long now) {
+        lines.take(s.host.id, now);
+        kept.take(s.host.id, now);
+        Kind kind = kinds.get(s.txn.type.read());
+        if (kind == null) {
+            return;
+        }
+        boolean atPrimary = PositionsHosts.isPrimary(s.host.id);
+        if (s.number == 0) {
+            kind.toPrimary += atPrimary ? 1 : 0;
+            if (now > s.txn.arrived) {
+                kind.held++;
+                kind.heldFor.recordValue((now - s.txn.arrived) / 1_000);
+            }
+        }
+        if (!atPrimary) {
+            kind.heardAgo.recordValue((now - s.host.saidAt) / 1_000);
+            kind.positionAge.recordValue((now - s.host.position) / 1_000);
+            kind.stale += truth.position(s.host.id, now) < target(s.txn, s.txn.target, now) ? 1 : 0;
+        }
+    }
+
+    @Override
+    public void probed(Host host, long now) {
+        probes++;
+        lines.take(host.id, now);
+        kept.take(host.id, now);
+    }
+
+    @Override
+    public void free(Host host, long now) {
+        lines.free(host.id, now);
+        kept.free(host.id, now);
+    }
+
+    @Override
+    public void close(Host host, long now) {
+        lines.close(host.id);
+        kept.close(host.id);
+    }
+
+    @Override
+    public void ended(Txn txn, long now) {
+        Kind kind = kinds.get(txn.type.read());
+        if (kind != null && txn.submissions.isEmpty()) {
+            kind.neverSent++;
+        }
+    }
+
+    /** The figures of so many seconds; shares are of the reads of a kind, times in milliseconds. */
+    void figures(Map<String, Object> to, double seconds) {
+        for (Map.Entry<Read, Kind> each : kinds.entrySet()) {
+            String name = each.getKey().name().toLowerCase(Locale.ROOT);
+            Kind kind = each.getValue();
+            double reads = Math.max(1, kind.reads);
+            to.put(name + "_reads", kind.reads);
+            to.put(name + "_none_fresh_by_record", kind.noneByRecord / reads);
+            to.put(name + "_none_fresh_in_truth", kind.noneInTruth / reads);
+            to.put(name + "_held", kind.held / reads);
+            times(to, name + "_held_ms", kind.heldFor);
+            to.put(name + "_to_primary", kind.toPrimary / reads);
+            to.put(name + "_never_sent", kind.neverSent / reads);
+            times(to, name + "_heard_ago_at_use_ms", kind.heardAgo);
+            times(to, name + "_position_age_at_use_ms", kind.positionAge);
+            to.put(name + "_stale", kind.stale);
+        }
+        times(to, "heard_ago_at_arrival_ms", heardBefore);
+        to.put("probes_a_txn", (double) probes / Math.max(1, txns));
+        String[] roles = {"primary", "replica"};
+        double groups = truth.count() / (double) PositionsHosts.MEMBERS;
+        double routers = PositionsRouter.routers(truth.count());
+        to.put("reckoned_routers", routers);
+        for (int role = 0; role < 2; role++) {
+            // What one router has, at each such host, times the routers before so many hosts.
+            double fleet = routers / (role == 0 ? groups : truth.count() - groups);
+            String name = "reckoned_at_a_" + roles[role];
+            to.put(name + "_open", lines.open(role) * fleet);
+            to.put(name + "_in_use", lines.used(role) * fleet);
+            to.put(name + "_made_a_second", lines.made(role) / seconds * fleet);
+            to.put(name + "_open_if_kept", kept.open(role) * fleet);
+            to.put(name + "_made_a_second_if_kept", kept.made(role) / seconds * fleet);
+        }
+        to.put("reckoned_at_a_host_probes_a_second", probes / seconds * routers / truth.count());
+    }
+
+    private static void times(Map<String, Object> to, String name, Histogram of) {
+        to.put(name + "_p50", of.getValueAtPercentile(50) / 1e3);
+        to.put(name + "_p99", of.getValueAtPercentile(99) / 1e3);
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconladder/lab/scale/PositionsTest.java
@@ -0,0 +1,59 @@
+package beaconladder.lab.scale;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class PositionsTest {
+    private static final long MS = 1_000_000;
+
+    private static double of(Map<String, Object> figures, String name) {
+        return ((Number) figures.get(name)).doubleValue();
+    }
+
+    @Test
+    void sameSeedSameFigures() {
+        assertThat(Positions.run(120, 5, 5)).isEqualTo(Positions.run(120, 5, 5))
+                .isNotEqualTo(Positions.run(120, 6, 5));
+    }
+
+    @Test
+    void noReadIsStaleAndEachIsSent() {
+        for (int groups : new int[] {40, 1_933}) {
+            Map<String, Object> figures = Positions.run(groups, 1, 10);
+            for (String kind : new String[] {"bounded", "session", "any"}) {
+                assertThat(of(figures, kind + "_reads")).as(kind).isGreaterThan(1_000);
+                assertThat(of(figures, kind + "_stale")).as(kind).isZero();
+                assertThat(of(figures, kind + "_never_sent")).as(kind).isLessThan(0.01);
+            }
+        }
+    }
+
+    /** The check of stale reads can fail: hosts that claim 0.4 s more than they have are believed. */
+    @Test
+    void readsOfHostsThatClaimTooMuchAreSeenToBeStale() {
+        Map<String, Object> figures = Positions.run(40, 1, 2, 5, 400 * MS);
+        assertThat(of(figures, "bounded_stale")).isPositive();
+        assertThat(of(figures, "session_stale")).isPositive();
+    }
+
+    /** The same statements over more groups: what is known of each is older, and more has to be asked. */
+    @Test
+    void theRecordIsOlderAmongMoreGroups() {
+        Map<String, Object> few = Positions.run(40, 1, 10);
+        Map<String, Object> many = Positions.run(1_933, 1, 10);
+        assertThat(of(many, "any_heard_ago_at_use_ms_p50"))
+                .isGreaterThan(10 * of(few, "any_heard_ago_at_use_ms_p50"));
+        assertThat(of(many, "bounded_none_fresh_by_record"))
+                .isGreaterThan(10 * of(few, "bounded_none_fresh_by_record"));
+        assertThat(of(many, "bounded_none_fresh_in_truth")).isZero();
+        assertThat(of(many, "probes_a_txn")).isBetween(10 * of(few, "probes_a_txn"), 1.0);
+    }
+
+    @Test
+    void afterAStartTheRecordIsEmpty() {
+        assertThat(of(Positions.cold(400, 1, 5), "any_none_fresh_by_record"))
+                .isGreaterThan(10 * of(Positions.run(400, 1, 5), "any_none_fresh_by_record") + 0.05);
+    }
+}
