lab.scale: a zone lost before one router, by the real module, and when it is over

PositionsLoss: a ninth of the hosts falls silent at once, groups that lose their primary have a new one after 13 s (the users' figure), the list tells late. Watchers need write down only what they look at.

--- a/src/main/java/beaconladder/lab/scale/ModuleCost.java
+++ b/src/main/java/beaconladder/lab/scale/ModuleCost.java
@@ -1,8 +1,5 @@
 package beaconladder.lab.scale;
 
-import beaconladder.fleet.Host;
-import beaconladder.fleet.Submission;
-import beaconladder.fleet.Txn;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.lang.management.ManagementFactory;
@@ -90,28 +87,5 @@
 
     /** Looks at nothing, so that only the module is measured. */
     private static final class Blind implements PositionsRouter.Watcher {
-        @Override
-        public void came(Txn txn, long now) {
-        }
-
-        @Override
-        public void sent(Submission s, long now) {
-        }
-
-        @Override
-        public void probed(Host host, long now) {
-        }
-
-        @Override
-        public void free(Host host, long now) {
-        }
-
-        @Override
-        public void close(Host host, long now) {
-        }
-
-        @Override
-        public void ended(Txn txn, long now) {
-        }
     }
 }
--- a/src/main/java/beaconladder/lab/scale/PositionsHosts.java
+++ b/src/main/java/beaconladder/lab/scale/PositionsHosts.java
@@ -5,9 +5,9 @@
 import java.util.SplittableRandom;
 
 /**
- * Hollow hosts, in memory: groups of a primary and two replicas that never fail. A replica has applied the
- * log up to a time that lies a constant part behind the clock, drawn for each; hosts answer after a drawn
- * time.
+ * Hollow hosts, in memory: groups of a primary and two replicas, in three of nine zones each. A replica has
+ * applied the log up to a time that lies a constant part behind the clock, drawn for each; hosts answer after
+ * a drawn time, however many ask. They are well, but for a zone that may be lost.
  */
 final class PositionsHosts {
     static final long MS = 1_000_000;
@@ -22,11 +22,16 @@
     private static final long REPORT_PERIOD = 148 * MS;
     private static final long REPORT_DELAY = 38 * MS;
 
+    /** The users' nine zones, and the longest that their changes of primary take. */
+    private static final int ZONES = 9;
+    static final long FAILOVER = 13_000 * MS;
+
     private final SplittableRandom chance;
     private final long[] lag;
     private final long[] phase;
     /** How far replicas lie behind what they claim; 0 for hosts that tell the truth. */
     private final long hidden;
+    private long lostAt = Long.MAX_VALUE;
 
     PositionsHosts(int groups, SplittableRandom chance, long hidden) {
         this.chance = chance;
@@ -47,13 +52,36 @@
         return host % MEMBERS == 0;
     }
 
+    /** Zone 0 is lost now: none of its hosts answers any more. */
+    void lose(long now) {
+        lostAt = now;
+    }
+
+    boolean down(int host, long now) {
+        return now >= lostAt && lostWith(host);
+    }
+
+    /** Whether it stands in the zone that is lost. */
+    boolean lostWith(int host) {
+        return (host / MEMBERS + ZONES / MEMBERS * (host % MEMBERS)) % ZONES == 0;
+    }
+
+    /** Whether it is the primary: the first member, or the second once it has taken over. */
+    boolean leads(int host, long now) {
+        return isPrimary(host) ? !down(host, now) : host % MEMBERS == 1 && down(host - 1, now)
+                && now >= lostAt + FAILOVER;
+    }
+
     /** Up to when it has applied the log. */
     long position(int host, long now) {
         return claimed(host, now) - (isPrimary(host) ? 0 : hidden);
     }
 
     private long claimed(int host, long now) {
-        return now - lag[host];
+        long applied = leads(host, now) ? now : now - lag[host];
+        // Nothing is committed while the group has no primary.
+        boolean gap = down(host - host % MEMBERS, now) && applied >= lostAt && applied < lostAt + FAILOVER;
+        return gap ? lostAt : applied;
     }
 
     /** How long a statement takes there, the way included. */
@@ -69,17 +97,17 @@
     /** The note of an answer: exact, rounded down to a millisecond as on the wire. */
     Word answer(int host, long now) {
         long position = claimed(host, now);
-        return new Word(role(host), position - Math.floorMod(position, MS), -1);
+        return new Word(role(host, now), position - Math.floorMod(position, MS), -1);
     }
 
     /** The report that goes with an answer or a probe: as old as its period and its delay make it. */
     Word report(int host, long now) {
         long taken = now - REPORT_DELAY - Math.floorMod(now + phase[host], REPORT_PERIOD);
         // 638 statements a second of 4 ms each are two or three at a time.
-        return new Word(role(host), claimed(host, taken), chance.nextInt(6));
+        return new Word(role(host, taken), claimed(host, taken), chance.nextInt(6));
     }
 
-    private static Role role(int host) {
-        return isPrimary(host) ? Role.PRIMARY : Role.REPLICA;
+    private Role role(int host, long now) {
+        return leads(host, now) ? Role.PRIMARY : Role.REPLICA;
     }
 }
--- a/src/main/java/beaconladder/lab/scale/PositionsRouter.java
+++ b/src/main/java/beaconladder/lab/scale/PositionsRouter.java
@@ -11,9 +11,7 @@
 import beaconladder.fleet.Txn;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.function.LongFunction;
@@ -26,12 +24,7 @@
     static final long MS = PositionsHosts.MS;
     /** Statements a second at one router, the users' figure. */
     static final double RATE = 902;
-    /** Statements a second at one host of the users' fleet, of all routers. */
-    private static final double HOST_RATE = 638;
-    static final int BOUNDED = 0;
-    static final int SESSION = 1;
-    static final int ANY = 2;
-    static final int WRITE = 3;
+    private static final int SESSION = 1;
     /** Up to which share of the txns each type goes: a quarter writes, reads as on valpo-despacho-later. */
     static final List<Double> MIXED = List.of(0.38, 0.57, 0.75, 1.0);
     /** A quarter writes, and reads of any data: the module is asked the same however old its record is. */
@@ -41,24 +34,38 @@
     private static final long[] GAP = {130 * MS, 630 * MS};
     /** So that positions before the start exist. */
     private static final long ZERO = 100_000 * MS;
+    /** How long a connection is tried, and how late the list names what is lost, and who took over. */
+    private static final long DIAL = 250 * MS;
+    private static final long NOTICE = 8_000 * MS;
+    private static final long ROLE_LAG = 3_000 * MS;
     /** As the desk's timer rests between two looks. */
     private static final long REST = MS;
 
     /** Sees what the router does. */
     interface Watcher {
         /** A txn has come in, and the module has not been asked yet. */
-        void came(Txn txn, long now);
+        default void came(Txn txn, long now) {
+        }
 
-        void sent(Submission s, long now);
+        default void sent(Submission s, long now) {
+        }
 
-        void probed(Host host, long now);
+        default void answered(Txn txn, long now) {
+        }
+
+        default void probed(Host host, long now) {
+        }
 
         /** A call to this host is over, and its connection free. */
-        void free(Host host, long now);
+        default void free(Host host, long now) {
+        }
 
-        void close(Host host, long now);
+        default void close(Host host, long now) {
+        }
 
-        void ended(Txn txn, long now);
+        /** It has had its final answer, whatever that is. */
+        default void ended(Txn txn, long now) {
+        }
     }
 
     private record Event(long at, long number, Runnable run) {
@@ -85,7 +92,7 @@
         this.upTo = upTo;
         this.truth = truth;
         this.chance = chance;
-        logic = new Logic(chance.nextLong(), settings(routers(truth.count())));
+        logic = new Logic(chance.nextLong(), PositionsStart.told(truth.count()));
         rounds = new Rounds(logic, this);
         this.watcher = watcher.apply(logic.keepIdle());
         for (int i = 0; i < truth.count(); i++) {
@@ -100,45 +107,6 @@
         at(now, this::comes);
     }
 
-    /** How many routers give each of these hosts the users' rate: 4,102 before 5,799 hosts. */
-    static int routers(int hosts) {
-        return (int) Math.max(1, Math.round(HOST_RATE * hosts / RATE));
-    }
-
-    /** What the router is told at start, as valpo-despacho-later tells it, but for the number of routers. */
-    private static Map<String, String> settings(int routers) {
-        Map<String, String> start = new LinkedHashMap<>();
-        start.put("family_info.freshness", "recent,own_writes,loose,update");
-        start.put("family_info.oldest_data_us", "500000,0,0,0");
-        start.put("family_info.session_marks", "client");
-        start.put("request_classes.count", "4");
-        String[][] types = {{"pure", "800000", "2000000", "1", "0"},
-            {"pure", "750000", "3000000", "1", "0.2"}, {"pure", "800000", "2500000", "2", "0.2"},
-            {"side_effect", "1000000", "3000000", "3", "0.7"}};
-        String[] names = {"effect", "goal_time_us", "give_up_us", "points", "late_share"};
-        for (int i = 0; i < types.length; i++) {
-            for (int j = 0; j < names.length; j++) {
-                start.put("request_classes." + i + "." + names[j], types[i][j]);
-            }
-        }
-        start.put("fees.probe", "0.069");
-        start.put("goal.whole", "0.45");
-        start.put("goal.worst_class", "0.2");
-        start.put("limits.max_attempts", "10");
-        start.put("limits.second_copies", "true");
-        start.put("limits.cancel", "true");
-        start.put("limits.probes", "true");
-        start.put("limits.conn_idle_us", "15000000");
-        start.put("rules.warm_within_us", "18000000");
-        start.put("rules.cold_share", "0.2");
-        start.put("rules.fall_us", "1000000");
-        start.put("rules.fall_multiple", "3");
-        start.put("replicas_of_me", String.valueOf(routers));
-        start.put("round_us", "5000");
-        start.put("my_zone", "0");
-        return start;
-    }
-
     long now() {
         return now;
     }
@@ -178,23 +146,49 @@
         rounds.act(txn, logic.place(txn, now), now);
     }
 
+    /** A ninth of the hosts is lost now; the list tells of it, and later on of the new primaries. */
+    void lose() {
+        truth.lose(now);
+        at(now + NOTICE, () -> hosts.stream().filter(host -> truth.lostWith(host.id)).forEach(host ->
+                logic.listed(host, false, Host.State.GONE, 0, now)));
+        at(now + PositionsHosts.FAILOVER + ROLE_LAG, () -> hosts.stream()
+                .filter(host -> truth.leads(host.id, now) && !PositionsHosts.isPrimary(host.id))
+                .forEach(host -> logic.listed(host, true, Host.State.READY, 0, now)));
+    }
+
     private void over(Submission s, Outcome outcome) {
         if (s.ended) {
             return;
         }
         watcher.free(s.host, now);
-        boolean answered = outcome == Outcome.COMMITTED;
-        rounds.act(s.txn, logic.after(s, outcome, s.txn.ended || answered,
-                answered ? truth.answer(s.host.id, now) : Word.SILENT,
-                answered ? truth.report(s.host.id, now) : Word.SILENT, now), now);
+        if (outcome == Outcome.COMMITTED && !s.txn.ended) {
+            watcher.answered(s.txn, now);
+        }
+        boolean spoke = outcome.fromHost();
+        rounds.act(s.txn, logic.after(s, outcome, s.txn.ended || outcome == Outcome.COMMITTED,
+                spoke ? truth.answer(s.host.id, now) : Word.SILENT,
+                spoke ? truth.report(s.host.id, now) : Word.SILENT, now), now);
     }
 
     @Override
     public void send(Submission s, long timeout) {
         watcher.sent(s, now);
         long work = truth.work();
-        at(now + Math.min(work, timeout),
-                () -> over(s, work <= timeout ? Outcome.COMMITTED : Outcome.TIMED_OUT));
+        int host = s.host.id;
+        if (truth.down(host, now)) {
+            at(now + Math.min(DIAL, timeout), () -> over(s, Outcome.UNREACHABLE));
+            return;
+        }
+        Outcome outcome = s.txn.type.read().atPrimary() && !truth.leads(host, now) ? Outcome.MISS
+                : Outcome.COMMITTED;
+        at(now + Math.min(work, timeout), () -> {
+            if (truth.down(host, now)) {
+                // It was lost with the work in hand, and the connection falls silent.
+                at(s.sent + timeout, () -> over(s, Outcome.TIMED_OUT));
+            } else {
+                over(s, work <= timeout ? outcome : Outcome.TIMED_OUT);
+            }
+        });
     }
 
     @Override
@@ -205,9 +199,11 @@
     @Override
     public void probe(Host host) {
         watcher.probed(host, now);
-        at(now + truth.probe(), () -> {
+        boolean down = truth.down(host.id, now);
+        at(now + (down ? DIAL : truth.probe()), () -> {
             watcher.free(host, now);
-            logic.probed(host, Outcome.COMMITTED, truth.report(host.id, now), now);
+            logic.probed(host, down ? Outcome.UNREACHABLE : Outcome.COMMITTED,
+                    down ? Word.SILENT : truth.report(host.id, now), now);
         });
     }
 
--- a/src/main/java/beaconladder/lab/scale/PositionsSight.java
+++ b/src/main/java/beaconladder/lab/scale/PositionsSight.java
@@ -89,7 +89,8 @@
         kind.noneInTruth += inTruth ? 0 : 1;
     }
 
-    private static long target(Txn txn, long written, long now) {
+    /** The position that a read must see, given that of its session's last write. */
+    static long target(Txn txn, long written, long now) {
         return switch (txn.type.read()) {
             case BOUNDED -> now - txn.type.bound();
             case SESSION -> written;
@@ -168,7 +169,7 @@
         to.put("probes_a_txn", (double) probes / Math.max(1, txns));
         String[] roles = {"primary", "replica"};
         double groups = truth.count() / (double) PositionsHosts.MEMBERS;
-        double routers = PositionsRouter.routers(truth.count());
+        double routers = PositionsStart.routers(truth.count());
         to.put("reckoned_routers", routers);
         for (int role = 0; role < 2; role++) {
             // What one router has, at each such host, times the routers before so many hosts.
--- a/src/test/java/beaconladder/lab/scale/PositionsTest.java
+++ b/src/test/java/beaconladder/lab/scale/PositionsTest.java
@@ -51,6 +51,19 @@
         assertThat(of(many, "probes_a_txn")).isBetween(10 * of(few, "probes_a_txn"), 1.0);
     }
 
+    /** A ninth of everything is lost: what needs a primary there waits for the new one, all else goes on. */
+    @Test
+    void aLostZoneCostsWhatNeedsItsPrimariesAndEndsWithTheFailover() {
+        Map<String, Object> figures = PositionsLoss.run(120, 1);
+        assertThat(figures).isEqualTo(PositionsLoss.run(120, 1));
+        assertThat(of(figures, "stale")).isZero();
+        assertThat(of(figures, "s1_to_13_in_time")).isBetween(0.85, 0.97);
+        assertThat(of(figures, "s20_to_60_in_time")).isGreaterThan(0.99);
+        assertThat(of(figures, "well_again_after_s")).isBetween(10.0, 16.0);
+        assertThat(of(figures, "hit_groups_any_in_time")).isGreaterThan(0.97);
+        assertThat(of(figures, "hit_groups_write_in_time")).isLessThan(0.2);
+    }
+
     @Test
     void afterAStartTheRecordIsEmpty() {
         assertThat(of(Positions.cold(400, 1, 5), "any_none_fresh_by_record"))
