--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -213,8 +213,8 @@
             return false;
         }
         // Closed, not half-closed: a query that crosses this is answered by a reset, so it is known not to
-        // have been read. The last look comes right before the close: on a part of a core this thread may stand
-        // still between any two steps, and what came meanwhile would be ended with no answer.
+        // have been read. The last look comes right before the close: on a part of a core this thread may
+        // stand still between any two steps, and what came meanwhile would be ended with no answer.
         try {
             if (!lastLook && in.feed(wire) > 0) {
                 cameAt = desk.now();
