The desk in files of one job each: list of hosts, cells, orders of the rounds, timer, places

Moved as they stood: HostList, CellDesk, Orders, Timer, Places, Errands; callers ask desk.cells() and desk.timer(). No decision, lock or order of calls has changed; LogicTest's and DrillTest's kept traces, PartsTest, GateTest, MovesTest, ServeIT, PipelineIT, DiscoveryIT and ServeLifeIT held.

--- a/src/main/java/beaconladder/serve/Admission.java
+++ b/src/main/java/beaconladder/serve/Admission.java
@@ -33,7 +33,7 @@
     Answer enter(Asked asked, int size, long arrived, long expiry, BooleanSupplier gone)
             throws InterruptedException {
         String tenant = asked.statement().value("t");
-        Gate.Answer leave = desk.enter(tenant == null ? "" : tenant, asked.statement().session(),
+        Gate.Answer leave = desk.cells().enter(tenant == null ? "" : tenant, asked.statement().session(),
                 asked.cluster(), desk.writes(asked.type()) || asked.statement().writes(), asked.type(), size,
                 wire.from(), arrived, expiry, gone);
         if (leave == null) {
@@ -50,7 +50,7 @@
                 if (joined(leave.pass())) {
                     return new Answer(leave.pass(), null, false);
                 }
-                desk.leave(leave.pass());
+                desk.cells().leave(leave.pass());
                 return new Answer(null, new Outbox().error("FATAL", "53300",
                         "too many connections of this tenant; it has not run", null), true);
             }
@@ -62,7 +62,7 @@
         if (counted() != null || ahead.over()) {
             return true;
         }
-        if (!desk.connected(pass)) {
+        if (!desk.cells().connected(pass)) {
             return false;
         }
         synchronized (this) {
@@ -71,7 +71,7 @@
                 return true;
             }
         }
-        desk.disconnected(pass);
+        desk.cells().disconnected(pass);
         return true;
     }
 
@@ -88,7 +88,7 @@
             counted = null;
         }
         if (connection != null) {
-            desk.disconnected(connection);
+            desk.cells().disconnected(connection);
         }
     }
 }
--- a/src/main/java/beaconladder/serve/Asked.java
+++ b/src/main/java/beaconladder/serve/Asked.java
@@ -35,7 +35,7 @@
             return only(error("42601", fault));
         }
         String id = statement.value("id");
-        Integer type = desk.typePlace(String.valueOf(statement.value("c")));
+        Integer type = desk.places().type(String.valueOf(statement.value("c")));
         long cluster = number(statement.value("cluster"));
         boolean named = cluster >= 0 && cluster <= Integer.MAX_VALUE;
         Group group = named ? desk.group((int) cluster) : null;
--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -95,7 +95,7 @@
     /** Whether its tenant's cell holds more connections than its own. */
     boolean borrows() {
         Pass of = task.counted();
-        return of != null && desk.borrows(of);
+        return of != null && desk.cells().borrows(of);
     }
 
     // ---- The reader: one thread for all clients, which never waits for any of them ------------------------
--- a/src/main/java/beaconladder/serve/ClientTask.java
+++ b/src/main/java/beaconladder/serve/ClientTask.java
@@ -133,7 +133,7 @@
             if (pass == null) {
                 return new Reply(work.cancelled() ? CANCELLED.get() : leave.told(), leave.last());
             } else if (group == null) {
-                desk.leave(pass);
+                desk.cells().leave(pass);
                 return new Reply(Asked.declined("no host of the cell is known", 0), false);
             }
         }
@@ -141,7 +141,7 @@
                 expiry, pass);
         if (taken == null) {
             if (pass != null) {
-                desk.leave(pass);
+                desk.cells().leave(pass);
             }
             return new Reply(Asked.error("22023", "the id of a txn that is in hand"), false);
         }
--- /dev/null
+++ b/src/main/java/beaconladder/serve/HostList.java
@@ -0,0 +1,115 @@
+package beaconladder.serve;
+
+import beaconladder.api.Router;
+import beaconladder.fleet.Group;
+import beaconladder.fleet.Host;
+import beaconladder.roster.Watch;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** The hosts as discovery lists them, by its names; under the desk's lock but for groups and addresses. */
+final class HostList {
+    private final Router router;
+    private final Trace trace;
+    private final List<String> zones;
+    private final Map<String, Host> hosts = new LinkedHashMap<>();
+    /** Those of them that are gone and not yet let go, so that a sweep does not walk the whole list. */
+    private final Map<String, Host> leaving = new LinkedHashMap<>();
+    private final Map<Integer, Group> groups = new ConcurrentHashMap<>();
+    private final Map<Host, InetSocketAddress> addresses = new ConcurrentHashMap<>();
+    /** How many hosts have been named; each has a number of its own. */
+    private int numbered;
+
+    HostList(Router router, Trace trace, String zones) {
+        this.router = router;
+        this.trace = trace;
+        this.zones = Arrays.asList(zones.split(","));
+    }
+
+    Group group(int number) {
+        return groups.get(number);
+    }
+
+    InetSocketAddress address(Host host) {
+        return addresses.get(host);
+    }
+
+    boolean isEmpty() {
+        return addresses.isEmpty();
+    }
+
+    /** How much it holds. */
+    int held() {
+        return hosts.size() + leaving.size() + addresses.size()
+                + groups.values().stream().mapToInt(group -> group.members.size()).sum();
+    }
+
+    /** Discovery's news; returns the hosts whose idle connections are of no use any more. */
+    List<Host> listed(boolean whole, List<Watch.Entry> entries, long now) {
+        List<Host> moved = new ArrayList<>();
+        Set<Host> named = new HashSet<>();
+        for (Watch.Entry e : entries) {
+            if (e.state() == Watch.State.GONE && !hosts.containsKey(e.id())) {
+                continue;
+            }
+            Group group = groups.computeIfAbsent(e.group(), Group::new);
+            Host host = hosts.computeIfAbsent(e.id(),
+                    id -> new Host(numbered++, group, zones.indexOf(e.zone())));
+            named.add(host);
+            trace.named(host, e.id());
+            trace.listed(host, e.state().name(), e.leader(), e.launchedMillis());
+            if (e.address() != null) {
+                InetSocketAddress before = addresses.put(host, e.address());
+                if (before != null && !before.equals(e.address())) {
+                    moved.add(host);
+                }
+            }
+            Host.State state = switch (e.state()) {
+                case READY -> Host.State.READY;
+                case DRAINING -> Host.State.DRAINING;
+                case GONE -> Host.State.GONE;
+            };
+            if (state != Host.State.READY || e.launchedMillis() * 1_000_000 > host.launched) {
+                moved.add(host);
+            }
+            if (state == Host.State.GONE) {
+                leaving.put(e.id(), host);
+            }
+            router.listed(host, e.leader(), state, e.launchedMillis() * 1_000_000, now);
+        }
+        if (whole) {
+            hosts.forEach((id, host) -> {
+                if (!named.contains(host) && host.state != Host.State.GONE) {
+                    leaving.put(id, host);
+                    router.listed(host, false, Host.State.GONE, host.launched, now);
+                    moved.add(host);
+                }
+            });
+        }
+        return moved;
+    }
+
+    /** Lets go of the hosts that are gone and that nothing needs any more. */
+    void sweep(long now) {
+        leaving.entrySet().removeIf(each -> {
+            Host host = each.getValue();
+            if (host.state != Host.State.GONE) {
+                // It is back.
+                return true;
+            }
+            if (!router.forget(host, now)) {
+                return false;
+            }
+            hosts.remove(each.getKey());
+            addresses.remove(host);
+            return true;
+        });
+    }
+}
--- a/src/main/java/beaconladder/serve/Lines.java
+++ b/src/main/java/beaconladder/serve/Lines.java
@@ -21,7 +21,7 @@
 import java.util.concurrent.Executor;
 
 /** The connections to hosts: those in use, a thread each, and those that wait for the next use. */
-final class Lines implements Desk.Errands {
+final class Lines implements Errands {
     /** What a host writes behind its answer came within a millisecond; a connection in wait costs nothing. */
     private static final long RESTED = 3_000_000;
 
--- a/src/main/java/beaconladder/serve/Placements.java
+++ b/src/main/java/beaconladder/serve/Placements.java
@@ -73,8 +73,8 @@
     }
 
     private void ask() throws IOException, Json.Fault {
-        List<Busy> busy = desk.busy();
-        long version = desk.placement().version();
+        List<Busy> busy = desk.cells().busy();
+        long version = desk.cells().placement().version();
         long wait = busy.isEmpty() ? waitMillis : MOVING_MILLIS;
         String told = busy.stream().map(b -> b.tenant() + ":" + b.writes() + b.commits().stream()
                 .map(commit -> ":" + Math.floorDiv(commit + MS - 1, MS)).collect(Collectors.joining()))
@@ -82,7 +82,7 @@
         String body = http.get("/v1/placement?router=" + router + "&run=" + run + "&version=" + version
                 + "&wait="
                 + wait + "&busy=" + told, (int) wait + LATE_MILLIS);
-        desk.placed(read(body));
+        desk.cells().placed(read(body));
     }
 
     private Placement read(String body) throws IOException, Json.Fault {
@@ -111,7 +111,7 @@
                         List.copyOf(positions)));
             }
             next = Map.copyOf(next);
-        } else if (version.longValue() != desk.placement().version()) {
+        } else if (version.longValue() != desk.cells().placement().version()) {
             throw new IOException("a new version without its seats");
         }
         seats = next;
--- a/src/main/java/beaconladder/serve/Serve.java
+++ b/src/main/java/beaconladder/serve/Serve.java
@@ -98,7 +98,7 @@
 
     /** Listens once it knows hosts, unless its end has been asked for; returns then. */
     public void start() throws IOException, InterruptedException {
-        threads.make(desk).start();
+        threads.make(desk.timer()).start();
         threads.make(watch).start();
         threads.make(this::sweep).start();
         if (placements != null) {
@@ -132,7 +132,7 @@
             waits.addAll(next.memoryMb() == stated.memoryMb() && next.descriptors() == stated.descriptors()
                     ? List.of() : List.of("limits"));
             if (plan != null) {
-                String objection = desk.plan(territory(plan));
+                String objection = desk.cells().plan(territory(plan));
                 if (objection != null) {
                     throw new IOException(plan + ": " + objection);
                 }
--- a/src/main/java/beaconladder/serve/WarmUp.java
+++ b/src/main/java/beaconladder/serve/WarmUp.java
@@ -50,7 +50,7 @@
         if (types.isEmpty()) {
             return;
         }
-        Thread timer = threads.make(desk);
+        Thread timer = threads.make(desk.timer());
         timer.start();
         AtomicInteger left = new AtomicInteger(TXNS);
         CountDownLatch done = new CountDownLatch(CLIENTS);
