Feed: versioned settings and plans in the grantors' log, relays, subscribers, feed command

A change of settings was a file and SIGHUP at each router. A proposal is now written to the grantors' log against the version it was made for; relays follow the leader and hold the base and the changes since; a router polls its relay, checks whole, applies or refuses, and says so with its next poll.

--- a/src/main/java/beaconladder/app/Main.java
+++ b/src/main/java/beaconladder/app/Main.java
@@ -10,7 +10,7 @@
 @Command(name = "beaconladder", mixinStandardHelpOptions = true, version = "beaconladder 0.1.0",
         description = "A router before database primaries and their replicas.",
         subcommands = {ServeCommand.class, DrillCommand.class, CheckCommand.class, CellsCommand.class,
-            LeaseCommand.class, MembersCommand.class, LabCommand.class})
+            LeaseCommand.class, MembersCommand.class, FeedCommand.class, LabCommand.class})
 public final class Main implements Runnable {
     @Spec
     private CommandSpec spec;
--- /dev/null
+++ b/src/main/java/beaconladder/feed/Applier.java
@@ -0,0 +1,16 @@
+package beaconladder.feed;
+
+import java.io.IOException;
+
+/** What a router does with a state. */
+public interface Applier {
+    /**
+     * Looks whether this could be in force here; changes nothing.
+     *
+     * @throws IOException what is wrong with it; then it is refused
+     */
+    void check(State next) throws IOException;
+
+    /** Puts it in force. It was checked, and is on the disk already. */
+    void apply(State next) throws IOException;
+}
--- /dev/null
+++ b/src/main/java/beaconladder/feed/Follower.java
@@ -0,0 +1,138 @@
+package beaconladder.feed;
+
+import beaconladder.roster.HttpGet;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A relay's task that follows the log: long GETs at the grantors, one after the other until the leader
+ * answers. With each it hands in the sums of its routers' acknowledgements.
+ */
+final class Follower implements Runnable, AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Follower.class);
+    /** So old is what a relay knows at rest; each relay asks twice a second then. */
+    static final int WAIT_MILLIS = 500;
+    /** A leader that says nothing for so long beyond that may be dead: the others are asked. */
+    private static final int SLACK_MILLIS = 500;
+    /** Heard in the last poll, or in the one in hand. */
+    static final long FRESH_MILLIS = WAIT_MILLIS + 100;
+    /** Between two rounds at grantors of whom none leads. */
+    private static final int ROUND_MILLIS = 100;
+    /** A burst reaches routers in steps of this; a hundred changes in a second are ten answers each. */
+    private static final int STEP_MILLIS = 100;
+    /** Milliseconds that stand for never: thirty years. */
+    private static final long NEVER = 1_000_000_000_000L;
+
+    private final String name;
+    private final List<HttpGet> doors;
+    private final Board board;
+    private final Tally tally;
+    private final Disk disk;
+    private final SplittableRandom chance = new SplittableRandom();
+    private int at;
+    private boolean whole;
+    private boolean away;
+    private volatile long heard;
+    private volatile boolean known;
+    private volatile boolean closed;
+
+    Follower(String name, List<InetSocketAddress> grantors, Board board, Tally tally, Disk disk) {
+        this.name = name;
+        this.doors = grantors.stream().map(HttpGet::new).toList();
+        this.board = board;
+        this.tally = tally;
+        this.disk = disk;
+        this.at = Math.floorMod(name.hashCode(), doors.size());
+    }
+
+    /** How long ago the log's leader said that this relay's version is the newest. */
+    long lagMillis() {
+        return known ? Math.max(0, System.nanoTime() - heard) / 1_000_000 : NEVER;
+    }
+
+    @Override
+    public void run() {
+        int failed = 0;
+        while (!closed) {
+            try {
+                boolean newer = poll();
+                failed = 0;
+                if (away) {
+                    LOG.info("relay {} hears from the log again, version {}", name,
+                            board.now().newest().version());
+                    away = false;
+                }
+                if (newer) {
+                    pause(STEP_MILLIS);
+                }
+            } catch (IOException e) {
+                at = (at + 1) % doors.size();
+                if (++failed % doors.size() == 0) {
+                    pause(ROUND_MILLIS / 2 + chance.nextInt(ROUND_MILLIS));
+                }
+                if (!away && lagMillis() > Subscriber.STALE_MILLIS) {
+                    LOG.warn("relay {} hears nothing from the log: {}", name, e.getMessage());
+                    away = true;
+                    // Who waits here is told so, and looks elsewhere.
+                    board.wake();
+                }
+            }
+        }
+        disk.close();
+    }
+
+    private boolean poll() throws IOException {
+        History before = board.now();
+        Report report = tally.report(before.newest().version(), lagMillis(), System.nanoTime());
+        String text = doors.get(at).get("/v1/feed?since=" + before.newest().version() + "&wait="
+                + WAIT_MILLIS + (whole ? "&whole=1" : "") + "&relay=" + name + "&report="
+                + URLEncoder.encode(FeedText.text(report), StandardCharsets.UTF_8),
+                WAIT_MILLIS + SLACK_MILLIS, SLACK_MILLIS);
+        Told told = FeedText.read(text, Told.class);
+        History next;
+        try {
+            next = before.heard(told);
+            whole = false;
+        } catch (IOException e) {
+            whole = true;
+            LOG.warn("relay {}: what a grantor told is void: {}", name, e.getMessage());
+            throw e;
+        }
+        if (next.newest().version() != told.version() || !next.newest().digest().equals(told.digest())) {
+            throw new IOException("the log is at version " + told.version() + " with digest " + told.digest()
+                    + ", this relay holds " + next.newest().version() + " with " + next.newest().digest());
+        }
+        boolean newer = next.newest().version() > before.newest().version();
+        if (newer) {
+            disk.keep(next.newest(), System.currentTimeMillis());
+        }
+        // Before it is shown: who is woken by it is not to be told of the lag before it.
+        heard = System.nanoTime();
+        known = true;
+        if (newer) {
+            board.show(next);
+        }
+        return newer;
+    }
+
+    private void pause(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            closed = true;
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        doors.forEach(HttpGet::end);
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/feed/History.java
@@ -0,0 +1,114 @@
+package beaconladder.feed;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The newest state and how it came about, as far as it is worth keeping: what a log's replicas apply alike,
+ * and what a relay holds.
+ *
+ * @param changes the last ones, oldest first, the last of them leading to the newest state
+ */
+public record History(@JsonProperty(required = true) State newest,
+        @JsonProperty(required = true) List<Change> changes) {
+    /** At 8,700 changes a day this is most of an hour; who has been away for longer gets the base. */
+    static final int MOST_CHANGES = 256;
+
+    /** A history after a proposal, and what became of that. */
+    public record Applied(History next, Written written) {
+    }
+
+    /** Copies, so that nobody changes it later. */
+    public History {
+        changes = List.copyOf(changes);
+    }
+
+    /** Nothing yet. */
+    public static History none() {
+        return of(State.none());
+    }
+
+    /** One that knows of no version before. */
+    static History of(State state) {
+        return new History(state, List.of());
+    }
+
+    /** The history with this proposal applied; all replicas come to the same. */
+    public Applied apply(Proposal proposal) {
+        if (proposal.against() != newest.version()) {
+            boolean again = changes.stream().anyMatch(each -> each.version() == proposal.against() + 1
+                    && each.set().equals(proposal.set()) && each.remove().equals(proposal.remove()));
+            return applied(this, again ? Written.Outcome.WRITTEN : Written.Outcome.OUT_OF_TURN);
+        }
+        State next = newest.after(proposal);
+        if (next.size() > State.LARGEST || next.entries().size() > State.MOST_ENTRIES) {
+            return applied(this, Written.Outcome.TOO_LARGE);
+        }
+        return applied(with(next, new Change(next.version(), proposal.set(), proposal.remove(),
+                next.digest())), Written.Outcome.WRITTEN);
+    }
+
+    private static Applied applied(History next, Written.Outcome outcome) {
+        return new Applied(next, new Written(outcome, next.newest.version(), next.newest.digest()));
+    }
+
+    /** Changes are kept up to a count, and while all of them take no more than a state may. */
+    private History with(State next, Change change) {
+        List<Change> all = new ArrayList<>(changes);
+        all.add(change);
+        int size = all.stream().mapToInt(Change::size).sum();
+        while (all.size() > MOST_CHANGES || size > State.LARGEST) {
+            size -= all.remove(0).size();
+        }
+        return new History(next, all);
+    }
+
+    /** What one that holds this version lacks: nothing, the changes since, or the base where that is less. */
+    public Told since(long version, boolean whole) {
+        if (version >= newest.version()) {
+            return new Told(newest.version(), newest.digest(), 0, null, List.of());
+        }
+        int from = changes.size() - (int) Math.min(Integer.MAX_VALUE, newest.version() - version);
+        List<Change> missed = whole || from < 0 ? List.of() : changes.subList(from, changes.size());
+        boolean base = missed.isEmpty() || missed.stream().mapToInt(Change::size).sum() > newest.size();
+        return new Told(newest.version(), newest.digest(), 0, base ? newest : null,
+                base ? List.of() : missed);
+    }
+
+    /**
+     * The history with what was told, looked at whole.
+     *
+     * @return this one where nothing newer was told
+     * @throws IOException where it does not fit, and nothing of it counts
+     */
+    History heard(Told told) throws IOException {
+        if (told.base() != null) {
+            State base = told.base().checked();
+            return base.version() > newest.version() ? of(base) : this;
+        }
+        History next = this;
+        for (Change change : told.changes()) {
+            if (change.version() > next.newest.version()) {
+                next = next.with(next.newest.after(change), change);
+            }
+        }
+        return next;
+    }
+
+    /** Nothing that was read back is believed before this has looked at it. */
+    public History checked() throws IOException {
+        newest.checked();
+        long version = newest.version() - changes.size();
+        for (Change each : changes) {
+            if (each.version() != ++version) {
+                throw new IOException("changes out of turn at version " + each.version());
+            }
+        }
+        if (!changes.isEmpty() && !changes.get(changes.size() - 1).digest().equals(newest.digest())) {
+            throw new IOException("the last change does not lead to the newest state");
+        }
+        return this;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/feed/State.java
@@ -0,0 +1,100 @@
+package beaconladder.feed;
+
+import com.dynatrace.hash4j.hashing.HashStream128;
+import com.dynatrace.hash4j.hashing.HashValue128;
+import com.dynatrace.hash4j.hashing.Hashing;
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.io.IOException;
+import java.util.Collections;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * What is to be in force, whole: settings and plans as texts by name. The log alone gives versions, one after
+ * the other from 1; a version has one digest, over it and all texts.
+ */
+public record State(@JsonProperty(required = true) long version,
+        @JsonProperty(required = true) SortedMap<String, String> entries,
+        @JsonProperty(required = true) String digest) {
+    /**
+     * All texts and names together, in characters: a plan of some thousand tenants, and settings of the same
+     * size. A router holds two states at once, which is to stay far below its 64 MB for control.
+     */
+    public static final int LARGEST = 512 * 1024;
+    /** Names of documents; an installation has some dozens. */
+    static final int MOST_ENTRIES = 256;
+
+    /** Copies, so that nobody changes it later. */
+    public State {
+        entries = Collections.unmodifiableSortedMap(new TreeMap<>(entries));
+    }
+
+    /** Nothing yet. */
+    public static State none() {
+        return of(0, Map.of());
+    }
+
+    /** A state with its digest. */
+    static State of(long version, Map<String, String> entries) {
+        TreeMap<String, String> sorted = new TreeMap<>(entries);
+        return new State(version, sorted, digest(version, sorted));
+    }
+
+    private static String digest(long version, SortedMap<String, String> entries) {
+        HashStream128 hash = Hashing.xxh3_128().hashStream().putLong(version);
+        entries.forEach((name, text) -> hash.putString(name).putString(text));
+        HashValue128 value = hash.get();
+        return String.format("%016x%016x", value.getMostSignificantBits(), value.getLeastSignificantBits());
+    }
+
+    /** How much of the bound it takes. */
+    @JsonIgnore
+    public int size() {
+        return Proposal.size(entries);
+    }
+
+    /** Nothing from outside is believed before this has looked at it. */
+    State checked() throws IOException {
+        if (version < 0) {
+            throw new IOException("a version below nought");
+        }
+        Proposal.check(entries);
+        return bounded().withDigest(digest(version, entries));
+    }
+
+    private State bounded() throws IOException {
+        if (entries.size() > MOST_ENTRIES || size() > LARGEST) {
+            throw new IOException("a state of more than " + LARGEST + " characters or " + MOST_ENTRIES
+                    + " entries");
+        }
+        return this;
+    }
+
+    private State withDigest(String wanted) throws IOException {
+        if (!wanted.equals(digest)) {
+            throw new IOException("version " + version + " does not have the digest that came with it");
+        }
+        return this;
+    }
+
+    /** The next one, by what a log has written. */
+    State after(Proposal proposal) {
+        TreeMap<String, String> next = new TreeMap<>(entries);
+        next.putAll(proposal.set());
+        next.keySet().removeAll(proposal.remove());
+        return of(version + 1, next);
+    }
+
+    /** The next one, by a change from outside, which has to fit this one and come to its own digest. */
+    State after(Change change) throws IOException {
+        if (change.version() != version + 1) {
+            throw new IOException("a change to version " + change.version() + " where " + (version + 1)
+                    + " is next");
+        }
+        Proposal.check(change.set());
+        return after(new Proposal(version, change.set(), change.remove())).bounded()
+                .withDigest(change.digest());
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/feed/Subscriber.java
@@ -0,0 +1,189 @@
+package beaconladder.feed;
+
+import beaconladder.roster.HttpGet;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A router's part: one task that polls one relay, takes what it lacks, puts it in force or refuses it, and
+ * says so with its next poll. It never asks the log: four thousand routers that have lost all relays would
+ * be the end of the grantors, on whom leases hang too. What it has stays in force, and it says how old that
+ * is.
+ */
+public final class Subscriber implements Runnable, AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Subscriber.class);
+    /** A relay answers after so long at the latest; so long a dead one is not missed. */
+    static final int WAIT_MILLIS = 1_000;
+    /** What an answer may take beyond that; with the wait, two thirds of the 3 s that a change may take. */
+    private static final int SLACK_MILLIS = 800;
+    /** A relay whose word is older asks nobody who knows: two of its own time-outs, and an election. */
+    static final long STALE_MILLIS = 2_000;
+    /** After no relay has answered: full jitter up to here, so that a region that heals asks evenly. */
+    private static final int BACKOFF_MILLIS = 2_000;
+    /** From a relay that is not the first back to the first: 5 to 15 s. */
+    private static final long BACK_MILLIS = 10_000;
+
+    private final Links links;
+    private final String name;
+    private final long life;
+    private final Applier applier;
+    private final Taking taking;
+    private final Disk disk;
+    private final SplittableRandom chance;
+    private State held;
+    private long inForce;
+    private long refused;
+    private boolean whole;
+    private volatile long heard;
+    private volatile boolean known;
+    private volatile boolean closed;
+
+    /**
+     * One that does nothing before it is run.
+     *
+     * @param life   larger than at any start of this router before
+     * @param relays by name
+     * @param store  the folder for its state, or null: then a start with no relay there has nothing
+     * @throws IOException where the folder can't be used or is damaged
+     */
+    public Subscriber(String name, long life, Map<String, InetSocketAddress> relays, Path store,
+            Applier applier) throws IOException {
+        this(name, life, relays, store, applier, Taking.WHOLE);
+    }
+
+    Subscriber(String name, long life, Map<String, InetSocketAddress> relays, Path store, Applier applier,
+            Taking taking) throws IOException {
+        this.name = name;
+        this.life = life;
+        this.applier = applier;
+        this.taking = taking;
+        disk = new Disk(store);
+        held = disk.kept().state();
+        chance = new SplittableRandom(life ^ name.hashCode());
+        links = new Links(name, relays, chance);
+    }
+
+    /** The version in force; 0 for none. */
+    public synchronized long version() {
+        return inForce;
+    }
+
+    /** How long ago it was known to be the newest, in milliseconds; or Long.MAX_VALUE where it never was. */
+    public long ageMillis() {
+        return known ? (System.nanoTime() - heard) / 1_000_000 : Long.MAX_VALUE;
+    }
+
+    @Override
+    public void run() {
+        while (!closed) {
+            try {
+                poll();
+            } catch (IOException e) {
+                if (links.failed() && !closed) {
+                    fromDisk();
+                    LOG.warn("{}: no relay answers ({}); version {} stays in force, {} ms old", name,
+                            e.getMessage(), version(), ageMillis());
+                    pause(chance.nextInt(BACKOFF_MILLIS));
+                }
+            }
+        }
+        links.close();
+        disk.close();
+    }
+
+    private void poll() throws IOException {
+        int wait = links.quick() ? 0 : WAIT_MILLIS;
+        HttpGet relay = links.use();
+        String text = relay.get("/v1/feed?since=" + taking.since(held) + "&wait=" + wait + "&name=" + name
+                + "&life=" + life + "&force=" + inForce + "&refused=" + refused
+                + (links.counts() ? "&counts=1" : "") + (links.settled() ? "&patient=1" : "")
+                + (whole ? "&whole=1" : ""), wait + SLACK_MILLIS, SLACK_MILLIS);
+        if (closed) {
+            return;
+        }
+        Told told = FeedText.read(text, Told.class);
+        long before = held.version();
+        try {
+            take(taking.take(held, told));
+            whole = false;
+        } catch (IOException e) {
+            // Once more, and whole; where that doesn't fit either, the relay is of no use.
+            boolean again = !whole;
+            whole = true;
+            LOG.warn("{}: what relay {} told is void: {}", name, links.relay(), e.getMessage());
+            if (!again) {
+                throw e;
+            }
+            return;
+        }
+        boolean fresh = told.lagMillis() <= STALE_MILLIS && told.version() >= before;
+        if (told.version() >= before) {
+            long at = System.nanoTime() - Math.max(0, told.lagMillis()) * 1_000_000;
+            heard = known ? Math.max(heard, at) : at;
+            known = true;
+        }
+        links.answered(fresh);
+    }
+
+    private synchronized void take(State next) throws IOException {
+        if (next.version() == refused || next.version() == held.version() && inForce == held.version()) {
+            return;
+        }
+        try {
+            applier.check(next);
+            disk.keep(next, System.currentTimeMillis());
+            applier.apply(next);
+            inForce = next.version();
+            refused = 0;
+        } catch (IOException e) {
+            LOG.warn("{}: version {} is refused, {} stays in force: {}", name, next.version(), inForce,
+                    e.getMessage());
+            refused = next.version();
+        }
+        held = next;
+    }
+
+    /** A start with no relay there: on with what was in force before, until a relay has something newer. */
+    private synchronized void fromDisk() {
+        if (held.version() > 0 && inForce == 0 && refused == 0) {
+            heard = System.nanoTime()
+                    - Math.max(0, System.currentTimeMillis() - disk.kept().heard()) * 1_000_000;
+            known = true;
+            try {
+                applier.check(held);
+                applier.apply(held);
+                inForce = held.version();
+                LOG.info("{}: no relay answers; version {} is in force from the disk", name, inForce);
+            } catch (IOException e) {
+                LOG.warn("{}: version {} on the disk is refused: {}", name, held.version(), e.getMessage());
+                refused = held.version();
+            }
+        }
+    }
+
+    private void pause(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            closed = true;
+        }
+    }
+
+    /** Ends it, also a poll in hand. */
+    @Override
+    public void close() {
+        closed = true;
+        links.close();
+    }
+
+    /** When to look again for the first relay, from now. */
+    static long back(SplittableRandom chance) {
+        return (BACK_MILLIS / 2 + chance.nextLong(BACK_MILLIS)) * 1_000_000;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/feed/Taking.java
@@ -0,0 +1,46 @@
+package beaconladder.feed;
+
+import java.io.IOException;
+
+/** What a router makes of what it is told. */
+interface Taking {
+    /** The router's: whole or not at all, one version after the other, never back. */
+    Taking WHOLE = new Taking() {
+        @Override
+        public long since(State held) {
+            return held.version();
+        }
+
+        @Override
+        public State take(State held, Told told) throws IOException {
+            if (told.version() < held.version()) {
+                return held;
+            }
+            State next = held;
+            if (told.base() != null && told.version() > held.version()) {
+                next = told.base().checked();
+            } else {
+                for (Change change : told.changes()) {
+                    if (change.version() > held.version()) {
+                        next = next.after(change);
+                    }
+                }
+            }
+            if (next.version() != told.version() || !next.digest().equals(told.digest())) {
+                throw new IOException("told of version " + told.version() + " with digest " + told.digest()
+                        + ", but what came is version " + next.version() + " with digest " + next.digest());
+            }
+            return next;
+        }
+    };
+
+    /** Since which version the router asks. */
+    long since(State held);
+
+    /**
+     * The state that it holds from now on.
+     *
+     * @throws IOException where what was told does not fit; then nothing of it counts
+     */
+    State take(State held, Told told) throws IOException;
+}
--- a/src/main/java/beaconladder/grant/GrantLog.java
+++ b/src/main/java/beaconladder/grant/GrantLog.java
@@ -1,6 +1,9 @@
 package beaconladder.grant;
 
-import beaconladder.lease.Ask;
+import beaconladder.feed.Board;
+import beaconladder.feed.FeedText;
+import beaconladder.feed.History;
+import beaconladder.feed.Proposal;
 import beaconladder.lease.Grants;
 import java.io.File;
 import java.io.IOException;
@@ -8,6 +11,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 import org.apache.ratis.io.MD5Hash;
@@ -29,14 +33,19 @@
 import org.apache.ratis.util.MD5FileUtil;
 
 /**
- * {@link Grants} under Apache Ratis: the leader stamps each ask with its clock, all replicas apply it
- * alike.
+ * {@link Grants} and the feed's {@link History} under Apache Ratis: the leader stamps each ask with its
+ * clock, all replicas apply it alike.
  */
 final class GrantLog extends BaseStateMachine {
+    /** Before a message, an entry, a line of a snapshot that is the feed's; those of leases begin with {. */
+    static final String FEED = "feed ";
+
     private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
     private final LongSupplier clock;
     private final long bound;
     private Grants grants = Grants.none();
+    /** What the feed has, as applied; those who follow it wait there. */
+    private final Board feed = new Board();
 
     GrantLog(LongSupplier clock, long bound) {
         this.clock = clock;
@@ -64,8 +73,13 @@
     /** On the leader alone. What can't be read never gets into the log. */
     @Override
     public TransactionContext startTransaction(RaftClientRequest request) throws IOException {
-        Ask ask = GrantText.ask(request.getMessage().getContent().toStringUtf8());
-        String entry = GrantText.text(new GrantText.Entry(ask, clock.getAsLong(), bound));
+        String text = request.getMessage().getContent().toStringUtf8();
+        String entry;
+        if (text.startsWith(FEED)) {
+            entry = FEED + FeedText.text(proposal(text).checked());
+        } else {
+            entry = GrantText.text(new GrantText.Entry(GrantText.ask(text), clock.getAsLong(), bound));
+        }
         return TransactionContext.newBuilder().setStateMachine(this).setClientRequest(request)
                 .setServerRole(RaftPeerRole.LEADER).setLogData(ByteString.copyFromUtf8(entry)).build();
     }
@@ -74,9 +88,18 @@
     public CompletableFuture<Message> applyTransaction(TransactionContext transaction) {
         LogEntryProto logged = transaction.getLogEntry();
         try {
-            GrantText.Entry entry = GrantText.read(logged.getStateMachineLogEntry()
-                    .getLogData().toStringUtf8(),
-                    GrantText.Entry.class);
+            String text = logged.getStateMachineLogEntry().getLogData().toStringUtf8();
+            if (text.startsWith(FEED)) {
+                Proposal proposal = proposal(text);
+                synchronized (this) {
+                    History.Applied applied = feed.now().apply(proposal);
+                    feed.show(applied.next());
+                    updateLastAppliedTermIndex(logged.getTerm(), logged.getIndex());
+                    return CompletableFuture.completedFuture(Message.valueOf(FeedText.text(
+                            applied.written())));
+                }
+            }
+            GrantText.Entry entry = GrantText.read(text, GrantText.Entry.class);
             synchronized (this) {
                 Grants.Applied applied = grants.apply(entry.ask(), entry.stamp(), entry.bound());
                 grants = applied.next();
@@ -88,6 +111,15 @@
         }
     }
 
+    private static Proposal proposal(String text) throws IOException {
+        return FeedText.read(text.substring(FEED.length()), Proposal.class);
+    }
+
+    /** The feed as this replica has applied it. */
+    Board feed() {
+        return feed;
+    }
+
     @Override
     public synchronized CompletableFuture<Message> query(Message asked) {
         return CompletableFuture.completedFuture(Message.valueOf(GrantText.text(grants)));
@@ -99,7 +131,7 @@
         String text;
         synchronized (this) {
             last = getLastAppliedTermIndex();
-            text = GrantText.text(grants);
+            text = snapshot();
         }
         if (last == null || last.getIndex() < 0) {
             return -1;
@@ -114,6 +146,26 @@
         return last.getIndex();
     }
 
+    /** The leases in the first line, as ever; what came later has a line and a word of its own. */
+    synchronized String snapshot() {
+        return GrantText.text(grants) + '\n' + FEED + FeedText.text(feed.now()) + '\n';
+    }
+
+    /** Reads a snapshot, also of a program that knew of leases alone. */
+    synchronized void read(String snapshot) throws IOException {
+        List<String> lines = snapshot.lines().toList();
+        Grants read = GrantText.grants(lines.isEmpty() ? "" : lines.get(0));
+        History history = History.none();
+        for (String line : lines.subList(1, lines.size())) {
+            if (!line.startsWith(FEED)) {
+                throw new IOException("a snapshot of a program that knows of more than this one");
+            }
+            history = FeedText.read(line.substring(FEED.length()), History.class).checked();
+        }
+        grants = read;
+        feed.show(history);
+    }
+
     private synchronized void load() throws IOException {
         SingleFileSnapshotInfo info = storage.loadLatestSnapshot();
         if (info == null) {
@@ -124,7 +176,7 @@
         if (hash != null) {
             MD5FileUtil.verifySavedMD5(file, hash);
         }
-        grants = GrantText.grants(Files.readString(file.toPath(), StandardCharsets.UTF_8));
+        read(Files.readString(file.toPath(), StandardCharsets.UTF_8));
         setLastAppliedTermIndex(SimpleStateMachineStorage.getTermIndexFromSnapshotFile(file));
     }
 }
--- a/src/main/java/beaconladder/grant/Grantor.java
+++ b/src/main/java/beaconladder/grant/Grantor.java
@@ -1,5 +1,6 @@
 package beaconladder.grant;
 
+import beaconladder.feed.LogDoor;
 import beaconladder.gossip.Gossip;
 import beaconladder.lease.Ask;
 import beaconladder.plan.Plan;
@@ -85,8 +86,9 @@
         boolean first = !Files.isDirectory(folder.resolve(GROUP.getUuid().toString()));
         Files.createDirectories(folder);
         RaftProperties properties = properties(plan, self, folder);
+        GrantLog log = new GrantLog(clock, plan.bound());
         server = RaftServer.newBuilder().setServerId(peers.get(plan.grantors().indexOf(self)).getId())
-                .setGroup(group).setProperties(properties).setStateMachine(new GrantLog(clock, plan.bound()))
+                .setGroup(group).setProperties(properties).setStateMachine(log)
                 .setOption(first ? RaftStorage.StartupOption.FORMAT : RaftStorage.StartupOption.RECOVER)
                         .build();
         server.start();
@@ -100,6 +102,7 @@
         door.createContext("/v1/leases", this::status);
         door.createContext("/v1/leader", this::leader);
         door.createContext("/v1/members", this::members);
+        new LogDoor(door, new FeedLog(log, server, GROUP, client));
         door.start();
         LOG.info("grantor {} answers at {}, {} of them at {}", name, self.at(), peers.size(), self.raft());
     }
--- /dev/null
+++ b/src/test/java/beaconladder/feed/FeedStateTest.java
@@ -0,0 +1,183 @@
+package beaconladder.feed;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/** Versions, digests, and what a relay or a log gives to one that lacks something. */
+class FeedStateTest {
+    @Test
+    void aVersionComesOfTheOneBeforeAloneAndHasADigestOfItsOwn() {
+        History one = written(History.none(), Map.of("a", "1"));
+        assertThat(one.newest().version()).isEqualTo(1);
+        assertThat(one.newest().entries()).isEqualTo(new TreeMap<>(Map.of("a", "1")));
+        History two = written(one, Map.of("a", "1"));
+        assertThat(two.newest().digest()).isNotEqualTo(one.newest().digest());
+        assertThat(State.of(2, Map.of("a", "1"))).isEqualTo(two.newest());
+        // What stands between a name and its text, and between two documents, counts.
+        assertThat(State.of(1, Map.of("ab", "c")).digest())
+                .isNotEqualTo(State.of(1, Map.of("a", "bc")).digest());
+        assertThat(State.of(1, Map.of("a", "b", "c", "d")).digest())
+                .isNotEqualTo(State.of(1, Map.of("a", "bcd")).digest());
+    }
+
+    @Test
+    void aProposalOutOfTurnChangesNothingAndOneAskedTwiceIsOneChange() {
+        History one = written(History.none(), Map.of("a", "1"));
+        Proposal late = new Proposal(0, Map.of("a", "2"), List.of());
+        assertThat(one.apply(late).next()).isEqualTo(one);
+        assertThat(one.apply(late).written().outcome()).isEqualTo(Written.Outcome.OUT_OF_TURN);
+        assertThat(one.apply(late).written().version()).isEqualTo(1);
+        assertThat(one.apply(new Proposal(5, Map.of("a", "2"), List.of())).written().outcome())
+                .isEqualTo(Written.Outcome.OUT_OF_TURN);
+        Proposal again = new Proposal(0, Map.of("a", "1"), List.of());
+        assertThat(one.apply(again).next()).isEqualTo(one);
+        assertThat(one.apply(again).written().outcome()).isEqualTo(Written.Outcome.WRITTEN);
+    }
+
+    @Test
+    void noProposalLeadsBeyondTheBound() {
+        String half = "x".repeat(State.LARGEST / 2);
+        History one = written(History.none(), Map.of("a", half));
+        History.Applied two = one.apply(new Proposal(1, Map.of("b", half), List.of()));
+        assertThat(two.written().outcome()).isEqualTo(Written.Outcome.TOO_LARGE);
+        assertThat(two.next()).isEqualTo(one);
+        History.Applied other = one.apply(new Proposal(1, Map.of("b", half), List.of("a")));
+        assertThat(other.written().outcome()).isEqualTo(Written.Outcome.WRITTEN);
+        assertThat(other.next().newest().entries().keySet()).containsExactly("b");
+    }
+
+    @Test
+    void whatIsNoProposalIsRefused() {
+        for (Proposal wrong : List.of(new Proposal(0, Map.of(), List.of()),
+                new Proposal(-1, Map.of("a", "1"), List.of()),
+                new Proposal(0, Map.of("../a", "1"), List.of()),
+                new Proposal(0, Map.of("a", "1"), List.of("a")), new Proposal(0, Map.of(), List.of("a b")),
+                new Proposal(0, Map.of("a", "x".repeat(State.LARGEST)), List.of()))) {
+            assertThatThrownBy(wrong::checked).as(wrong.toString()).isInstanceOf(IOException.class);
+        }
+        for (String wrong : List.of("", "{}", "null", "[]", "{\"against\":0,\"set\":null,\"remove\":[]}",
+                "{\"against\":0,\"set\":{\"a\":\"1\",\"a\":\"2\"},\"remove\":[]}",
+                "{\"against\":0,\"set\":{},\"remove\":[]} {}",
+                "{\"against\":null,\"set\":{},\"remove\":[]}")) {
+            assertThatThrownBy(() -> FeedText.read(wrong, Proposal.class)).as(wrong)
+                    .isInstanceOf(IOException.class);
+        }
+    }
+
+    @Test
+    void oneThatFollowsIsToldWhatItLacksAndNoMore() throws IOException {
+        History all = History.none();
+        for (int i = 1; i <= 10; i++) {
+            all = written(all, Map.of("a", "some text that takes a little room", "n" + i, "" + i));
+        }
+        assertThat(all.since(10, false)).isEqualTo(new Told(10, all.newest().digest(), 0, null, List.of()));
+        assertThat(all.since(11, false).changes()).isEmpty();
+        Told one = all.since(9, false);
+        assertThat(one.base()).isNull();
+        assertThat(one.changes()).extracting(Change::version).containsExactly(10L);
+        // All changes together are more than the base.
+        assertThat(all.since(0, false).base()).isEqualTo(all.newest());
+        assertThat(all.since(0, false).changes()).isEmpty();
+        assertThat(all.since(9, true).base()).isEqualTo(all.newest());
+    }
+
+    @Test
+    void changesBeyondTheCountAreForgottenAndTheBaseIsToldInstead() {
+        History all = History.none();
+        Map<String, String> large = Map.of("large", "x".repeat(100_000));
+        all = written(all, large);
+        for (int i = 0; i < History.MOST_CHANGES + 5; i++) {
+            all = written(all, Map.of("a", "" + i));
+        }
+        assertThat(all.changes()).hasSize(History.MOST_CHANGES);
+        long newest = all.newest().version();
+        assertThat(all.since(newest - History.MOST_CHANGES, false).base()).isNull();
+        assertThat(all.since(newest - History.MOST_CHANGES - 1, false).base()).isEqualTo(all.newest());
+        // Large changes are forgotten sooner.
+        for (int i = 0; i < 10; i++) {
+            all = written(all, Map.of("large", i + "x".repeat(100_000)));
+        }
+        assertThat(all.changes().size()).isLessThan(7);
+    }
+
+    @Test
+    void aRelayComesToTheSameAsTheLogByBaseAndByChanges() throws IOException {
+        History log = History.none();
+        History relay = History.none();
+        for (int i = 1; i <= 40; i++) {
+            log = written(log, Map.of("n" + i % 7, "text " + i));
+            if (i % 3 != 0) {
+                String text = FeedText.text(log.since(relay.newest().version(), false));
+                relay = relay.heard(FeedText.read(text, Told.class));
+                assertThat(relay.newest()).isEqualTo(log.newest());
+            }
+        }
+        History read = FeedText.read(FeedText.text(log), History.class).checked();
+        assertThat(read).isEqualTo(log);
+    }
+
+    @Test
+    void whatDoesNotFitCountsForNothing() throws IOException {
+        History log = written(written(written(History.none(), Map.of("a", "a longer text than most")),
+                Map.of("b", "2")), Map.of("c", "3"));
+        Told two = log.since(1, false);
+        assertThat(two.changes()).hasSize(2);
+        State one = log.newest().version() == 3 ? State.of(1, Map.of("a", "a longer text than most")) : null;
+        assertThat(Taking.WHOLE.take(one, two)).isEqualTo(log.newest());
+        // A gap, another text under the version, another state under it, a digest that was made up.
+        Change last = two.changes().get(1);
+        for (Told wrong : List.of(
+                new Told(3, two.digest(), 0, null, List.of(last)),
+                new Told(3, two.digest(), 0, null, List.of()),
+                new Told(3, two.digest(), 0, null, List.of(two.changes().get(0))),
+                new Told(3, two.digest(), 0, null, List.of(two.changes().get(0),
+                        new Change(3, Map.of("c", "4"), List.of(), last.digest()))),
+                new Told(3, two.digest(), 0, new State(3, log.newest().entries(), "0"), List.of()),
+                new Told(3, "0", 0, log.newest(), List.of()),
+                new Told(4, two.digest(), 0, log.newest(), List.of()),
+                new Told(1, "0", 0, null, List.of()))) {
+            assertThatThrownBy(() -> Taking.WHOLE.take(one, wrong)).as(wrong.toString())
+                    .isInstanceOf(IOException.class);
+        }
+        assertThatThrownBy(() -> Taking.WHOLE.take(State.of(1, Map.of("a", "other")), two))
+                .isInstanceOf(IOException.class);
+    }
+
+    @Test
+    void nothingOlderIsTaken() throws IOException {
+        History old = written(History.none(), Map.of("a", "1"));
+        History log = written(old, Map.of("a", "2"));
+        assertThat(Taking.WHOLE.take(log.newest(), old.since(0, false))).isEqualTo(log.newest());
+        assertThat(log.heard(old.since(0, false))).isEqualTo(log);
+        assertThat(old.since(2, false).base()).isNull();
+    }
+
+    @Test
+    void aRouterTurnsToItsOwnRelaysAndOneLessMovesOnlyItsOwn() {
+        List<String> eight = java.util.stream.IntStream.range(0, 8).mapToObj(i -> "r" + i).toList();
+        List<String> seven = eight.subList(0, 7);
+        int[] first = new int[8];
+        for (int i = 0; i < 4_100; i++) {
+            List<String> order = Rendezvous.order("n" + i, eight);
+            assertThat(order).containsExactlyInAnyOrderElementsOf(eight);
+            first[order.get(0).charAt(1) - '0']++;
+            List<String> fewer = Rendezvous.order("n" + i, seven);
+            assertThat(fewer).isEqualTo(order.stream().filter(seven::contains).toList());
+        }
+        for (int each : first) {
+            assertThat(each).isBetween(4_100 / 8 * 3 / 4, 4_100 / 8 * 5 / 4);
+        }
+    }
+
+    static History written(History before, Map<String, String> set) {
+        History.Applied applied = before.apply(new Proposal(before.newest().version(), set, List.of()));
+        assertThat(applied.written().outcome()).isEqualTo(Written.Outcome.WRITTEN);
+        return applied.next();
+    }
+}
