--- a/src/main/java/beaconladder/feed/Follower.java
+++ b/src/main/java/beaconladder/feed/Follower.java
@@ -72,7 +72,7 @@
                 if (newer) {
                     pause(STEP_MILLIS);
                 }
-            } catch (IOException e) {
+            } catch (IOException | RuntimeException e) {
                 at = (at + 1) % doors.size();
                 if (++failed % doors.size() == 0) {
                     pause(ROUND_MILLIS / 2 + chance.nextInt(ROUND_MILLIS));
--- a/src/main/java/beaconladder/feed/Relay.java
+++ b/src/main/java/beaconladder/feed/Relay.java
@@ -62,7 +62,7 @@
         Thread thread = new Thread(null, follower, "follower", 256 * 1024);
         thread.setDaemon(true);
         thread.start();
-        LOG.info("relay {} answers at {}, for up to {} routers, from version {}", name, at, most,
+        LOG.info("relay {} answers at {}, for up to {} routers, from version {}", name, door.at(), most,
                 disk.kept().state().version());
     }
 
--- a/src/main/java/beaconladder/feed/RelayDoor.java
+++ b/src/main/java/beaconladder/feed/RelayDoor.java
@@ -29,8 +29,8 @@
     private static final int IDLE_MILLIS = 10_000;
     /** The largest answer takes less at a hundredth of a gigabit a second; who reads slower is cut off. */
     private static final long WRITE_NANOS = 5_000_000_000L;
-    /** The calls below take few frames. */
-    private static final long STACK = 128 * 1024;
+    /** As a router's tasks have it; what is never touched takes no memory. */
+    private static final long STACK = 256 * 1024;
 
     /** What is said to a request. */
     interface Answering {
--- a/src/main/java/beaconladder/feed/State.java
+++ b/src/main/java/beaconladder/feed/State.java
@@ -49,6 +49,11 @@
         return String.format("%016x%016x", value.getMostSignificantBits(), value.getLeastSignificantBits());
     }
 
+    /** The digest that its contents have, whatever it came with. */
+    public String reckoned() {
+        return digest(version, entries);
+    }
+
     /** How much of the bound it takes. */
     @JsonIgnore
     public int size() {
--- a/src/main/java/beaconladder/feed/Subscriber.java
+++ b/src/main/java/beaconladder/feed/Subscriber.java
@@ -26,8 +26,8 @@
     static final long STALE_MILLIS = 2_000;
     /** After no relay has answered: full jitter up to here, so that a region that heals asks evenly. */
     private static final int BACKOFF_MILLIS = 2_000;
-    /** From a relay that is not the first back to the first: 5 to 15 s. */
-    private static final long BACK_MILLIS = 10_000;
+    /** From a relay that is not the first back to the first: 3 to 9 s. */
+    private static final long BACK_MILLIS = 6_000;
 
     private final Links links;
     private final String name;
@@ -84,11 +84,11 @@
         while (!closed) {
             try {
                 poll();
-            } catch (IOException e) {
+            } catch (IOException | RuntimeException e) {
                 if (links.failed() && !closed) {
                     fromDisk();
                     LOG.warn("{}: no relay answers ({}); version {} stays in force, {} ms old", name,
-                            e.getMessage(), version(), ageMillis());
+                            e, version(), ageMillis());
                     pause(chance.nextInt(BACKOFF_MILLIS));
                 }
             }
--- a/src/main/java/beaconladder/grant/Grantor.java
+++ b/src/main/java/beaconladder/grant/Grantor.java
@@ -96,6 +96,8 @@
                 .setRetryPolicy(RetryPolicies.retryUpToMaximumCountWithFixedSleep(RETRIES,
                         millis(50))).build();
         gossip = gossip(plan, self);
+        // Head and body of an answer are two segments: without this the second waits for the other's ACK.
+        System.setProperty("sun.net.httpserver.nodelay", "true");
         door = HttpServer.create(self.at(), 512);
         door.setExecutor(threads);
         door.createContext("/v1/lease", this::ask);
--- a/src/main/java/beaconladder/lab/FaultRelay.java
+++ b/src/main/java/beaconladder/lab/FaultRelay.java
@@ -51,7 +51,8 @@
         this.messages = messages;
         this.chance = new SplittableRandom(seed);
         door.setReuseAddress(true);
-        door.bind(at, 100);
+        // A region's routers come at once; with a shorter queue some would wait for TCP's next try, a second.
+        door.bind(at, 1024);
         Tasks.spawn(() -> {
             while (true) {
                 Socket in = door.accept();
--- a/src/main/java/beaconladder/lab/Programs.java
+++ b/src/main/java/beaconladder/lab/Programs.java
@@ -38,6 +38,11 @@
             process = builder.start();
         }
 
+        /** Of the process started last. */
+        long pid() {
+            return process.pid();
+        }
+
         boolean alive() {
             return process != null && process.isAlive();
         }
--- /dev/null
+++ b/src/test/java/beaconladder/feed/FeedSubscriberTest.java
@@ -0,0 +1,231 @@
+package beaconladder.feed;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.awaitility.Awaitility.await;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Log, relays and subscribers in one process, on real sockets. */
+@Timeout(60)
+class FeedSubscriberTest {
+    private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    private static final Duration LONG = Duration.ofSeconds(20);
+
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private final Map<String, InetSocketAddress> relays = new TreeMap<>();
+
+    /** Keeps what is put in force, and refuses what says so. */
+    private static final class Keeps implements Applier {
+        private final List<State> applied = new CopyOnWriteArrayList<>();
+
+        @Override
+        public void check(State next) throws IOException {
+            if (next.entries().containsKey("bad")) {
+                throw new IOException("a bad one");
+            }
+        }
+
+        @Override
+        public void apply(State next) {
+            applied.add(next);
+        }
+
+        State last() {
+            return applied.isEmpty() ? null : applied.get(applied.size() - 1);
+        }
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+    }
+
+    private <T extends AutoCloseable> T open(T each) {
+        open.add(0, each);
+        return each;
+    }
+
+    private LogStandIn log() throws IOException {
+        return open(new LogStandIn());
+    }
+
+    private Relay relay(String name, LogStandIn log, Path store) throws IOException {
+        Relay relay = open(new Relay(name, ANY, List.of(log.at()), store, 100));
+        relays.put(name, relay.at());
+        return relay;
+    }
+
+    private Subscriber subscriber(String name, long life, Path store, Applier applier) throws IOException {
+        Subscriber subscriber = open(new Subscriber(name, life, relays, store, applier));
+        Thread thread = new Thread(subscriber, name);
+        thread.setDaemon(true);
+        thread.start();
+        return subscriber;
+    }
+
+    @Test
+    void whatTheLogHasIsInForceAndAcknowledged() throws Exception {
+        LogStandIn log = log();
+        relay("a", log, null);
+        relay("b", log, null);
+        Keeps keeps = new Keeps();
+        Subscriber subscriber = subscriber("n", 1, null, keeps);
+        State one = log.set("x", "1");
+        await().atMost(LONG).until(() -> one.equals(keeps.last()));
+        State two = log.set("x", "2");
+        await().atMost(LONG).until(() -> two.equals(keeps.last()));
+        assertThat(subscriber.ageMillis()).isLessThan(10_000);
+        Proposer proposer = new Proposer(List.of(log.at()), 2_000);
+        await().atMost(LONG).until(() -> proposer.status().counts().equals(
+                List.of(new Report.Count(2, 1, 0))));
+        assertThat(proposer.status().relays()).hasSize(2);
+    }
+
+    @Test
+    void aRefusedVersionLeavesTheOneBeforeInForceUntilABetterOneComes() throws Exception {
+        LogStandIn log = log();
+        relay("a", log, null);
+        Keeps keeps = new Keeps();
+        Subscriber subscriber = subscriber("n", 1, null, keeps);
+        State one = log.set("x", "1");
+        await().atMost(LONG).until(() -> one.equals(keeps.last()));
+        log.set("bad", "1");
+        Proposer proposer = new Proposer(List.of(log.at()), 2_000);
+        await().atMost(LONG).until(() -> proposer.status().counts().equals(
+                List.of(new Report.Count(2, 0, 1), new Report.Count(1, 1, 0))));
+        assertThat(subscriber.version()).isEqualTo(1);
+        Written three = proposer.propose(new Proposal(2, Map.of(), List.of("bad")));
+        await().atMost(LONG).until(() -> keeps.last().version() == three.version());
+        assertThat(keeps.applied).extracting(State::version).containsExactly(1L, 3L);
+    }
+
+    @Test
+    void whoseRelayHearsNothingFromTheLogTurnsToItsSpare() throws Exception {
+        LogStandIn log = log();
+        LogStandIn cut = log();
+        String first = Rendezvous.order("n", List.of("a", "b")).get(0);
+        relay(first, cut, null);
+        relay(first.equals("a") ? "b" : "a", log, null);
+        cut.show(log.history());
+        Keeps keeps = new Keeps();
+        subscriber("n", 1, null, keeps);
+        cut.set("x", "1");
+        State one = log.set("x", "1");
+        await().atMost(LONG).until(() -> one.equals(keeps.last()));
+        cut.leads(false);
+        State two = log.set("x", "2");
+        await().atMost(LONG).until(() -> two.equals(keeps.last()));
+    }
+
+    @Test
+    void aRouterAloneGoesOnFromItsDiskAndSaysHowOldThatIs(@TempDir Path folder) throws Exception {
+        LogStandIn log = log();
+        Relay relay = relay("a", log, null);
+        Keeps before = new Keeps();
+        Subscriber first = subscriber("n", 1, folder, before);
+        State one = log.set("x", "1");
+        await().atMost(LONG).until(() -> one.equals(before.last()));
+        first.close();
+        relay.close();
+        Thread.sleep(1_200);
+        Keeps after = new Keeps();
+        Subscriber second = await().atMost(LONG).ignoreExceptions().until(() -> subscriber("n", 2, folder,
+                after), each -> true);
+        await().atMost(LONG).until(() -> one.equals(after.last()));
+        assertThat(second.ageMillis()).isBetween(1_000L, 60_000L);
+        assertThat(second.version()).isEqualTo(1);
+    }
+
+    @Test
+    void aRelayWithAnOldDiskTakesNobodyBack(@TempDir Path folder) throws Exception {
+        LogStandIn log = log();
+        String first = Rendezvous.order("n", List.of("a", "b")).get(0);
+        Relay old = relay(first, log, folder.resolve("now"));
+        State one = log.set("x", "1");
+        await().atMost(LONG).until(() -> Files.exists(folder.resolve("now")) && kept(folder, old) == 1);
+        old.close();
+        relays.clear();
+        LogStandIn away = log();
+        away.leads(false);
+        await().atMost(LONG).ignoreExceptions().until(() -> relay(first, away, folder.resolve("now")),
+                each -> true);
+        relay(first.equals("a") ? "b" : "a", log, null);
+        State two = log.set("x", "2");
+        Keeps keeps = new Keeps();
+        subscriber("n", 1, null, keeps);
+        await().atMost(LONG).until(() -> two.equals(keeps.last()));
+        // It may have had what the old one has at its first look, and never after the newer one.
+        Thread.sleep(1_500);
+        assertThat(keeps.applied).isSubsetOf(one, two).endsWith(two);
+    }
+
+    private static long kept(Path folder, Relay relay) throws IOException {
+        beaconladder.roster.HttpGet http = new beaconladder.roster.HttpGet(relay.at());
+        try {
+            return FeedText.read(http.get("/v1/relay", 1_000), Relay.Status.class).version();
+        } finally {
+            http.end();
+        }
+    }
+
+    @Test
+    void anotherContentsUnderAVersionIsNotTaken() throws Exception {
+        LogStandIn log = log();
+        LogStandIn other = log();
+        relay("a", log, null);
+        Keeps keeps = new Keeps();
+        subscriber("n", 1, null, keeps);
+        State one = log.set("x", "1");
+        await().atMost(LONG).until(() -> one.equals(keeps.last()));
+        other.set("x", "other");
+        log.show(other.history());
+        Thread.sleep(1_500);
+        assertThat(keeps.last()).isEqualTo(one);
+    }
+
+    @Test
+    void aRelayBearsSoManyConnectionsAndNoMore() throws Exception {
+        Relay relay = open(new Relay("a", ANY, List.of(log().at()), null, 2));
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            sockets.add(open(new Socket(relay.at().getAddress(), relay.at().getPort())));
+        }
+        Socket third = sockets.get(2);
+        third.setSoTimeout(5_000);
+        assertThat(third.getInputStream().read()).isEqualTo(-1);
+        sockets.get(0).setSoTimeout(300);
+        assertThatThrownBy(() -> sockets.get(0).getInputStream().read())
+                .isInstanceOf(java.net.SocketTimeoutException.class);
+    }
+
+    @Test
+    void whatIsNoPollIsAnsweredSoAndTheConnectionEnds() throws Exception {
+        Relay relay = open(new Relay("a", ANY, List.of(log().at()), null, 10));
+        for (String wrong : List.of("/v1/feed", "/v1/feed?since=1", "/v1/feed?since=-1&wait=0&name=n&life=1"
+                + "&force=0&refused=0", "/v1/feed?since=0&wait=99999999&name=n&life=1&force=0&refused=0",
+                "/v1/feed?since=0&wait=0&name=a%2Fb&life=1&force=0&refused=0", "/v1/feed?since=0&since=0",
+                "/v1/other")) {
+            beaconladder.roster.HttpGet http = new beaconladder.roster.HttpGet(relay.at(), true);
+            assertThat(http.get(wrong, 2_000)).as(wrong).contains("error");
+            http.end();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconladder/feed/LogStandIn.java
@@ -0,0 +1,73 @@
+package beaconladder.feed;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** The grantors' log without the grantors: its real door, on a history in memory. */
+public final class LogStandIn implements LogDoor.Log, AutoCloseable {
+    private final Board board = new Board();
+    private final HttpServer door;
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private volatile boolean leads = true;
+
+    public LogStandIn() throws IOException {
+        door = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
+        door.setExecutor(threads);
+        new LogDoor(door, this);
+        door.start();
+    }
+
+    public InetSocketAddress at() {
+        return door.getAddress();
+    }
+
+    /** What has been written, oldest first, as far as it is kept. */
+    public History history() {
+        return board.now();
+    }
+
+    /** Sets a document. */
+    public State set(String name, String text) {
+        History.Applied applied = board.now().apply(new Proposal(board.now().newest().version(),
+                Map.of(name, text), List.of()));
+        board.show(applied.next());
+        return applied.next().newest();
+    }
+
+    void show(History history) {
+        board.show(history);
+    }
+
+    void leads(boolean on) {
+        leads = on;
+    }
+
+    @Override
+    public Board board() {
+        return board;
+    }
+
+    @Override
+    public boolean leads() {
+        return leads;
+    }
+
+    @Override
+    public synchronized Written write(Proposal proposal) {
+        History.Applied applied = board.now().apply(proposal);
+        board.show(applied.next());
+        return applied.written();
+    }
+
+    @Override
+    public void close() {
+        door.stop(0);
+        threads.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconladder/lab/FeedMutantsTest.java
@@ -0,0 +1,160 @@
+package beaconladder.lab;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import beaconladder.feed.Applier;
+import beaconladder.feed.LogStandIn;
+import beaconladder.feed.Mutants;
+import beaconladder.feed.Relay;
+import beaconladder.feed.State;
+import beaconladder.feed.Subscriber;
+import beaconladder.lab.FeedJudge.Applied;
+import beaconladder.lab.FeedJudge.Outage;
+import beaconladder.lab.FeedWriter.Logged;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The judge of the feed's rehearsal finds what is wrong, from journals and the log alone. */
+@Timeout(60)
+class FeedMutantsTest {
+    private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    private static final long SECOND = 1_000_000_000;
+
+    private final List<Applied> journal = new CopyOnWriteArrayList<>();
+    private final List<Logged> logged = new ArrayList<>();
+
+    private interface Maker {
+        Subscriber make(String name, Map<String, InetSocketAddress> relays, Applier applier)
+                throws IOException;
+    }
+
+    @Test
+    void aRouterThatSkipsAChangeHasOtherContentsUnderTheVersion() throws Exception {
+        play(Mutants::right);
+        assertThat(verdict()).isEmpty();
+        journal.clear();
+        logged.clear();
+        play(Mutants::skips);
+        assertThat(verdict()).anyMatch(line -> line.startsWith("two contents under one version"));
+    }
+
+    @Test
+    void aRouterThatTakesAnOlderBaseGoesBack() throws Exception {
+        play(Mutants::goesBack);
+        assertThat(verdict()).anyMatch(line -> line.startsWith("a version went back"));
+    }
+
+    private List<String> verdict() {
+        return new FeedJudge(logged, journal, List.of()).contents().verdict().broken();
+    }
+
+    /** Bursts at one relay; then that one ends, and the router finds another whose log is older. */
+    private void play(Maker maker) throws Exception {
+        try (LogStandIn log = new LogStandIn(); LogStandIn old = new LogStandIn();
+                Relay a = new Relay("a", ANY, List.of(log.at()), null, 10);
+                Relay b = new Relay("b", ANY, List.of(old.at()), null, 10)) {
+            // One whose own relay is the first.
+            String name = "n0";
+            for (int i = 1; !first(name); i++) {
+                name = "n" + i;
+            }
+            Map<String, InetSocketAddress> relays = new TreeMap<>(Map.of("a", a.at(), "b", b.at()));
+            String router = name;
+            try (Subscriber subscriber = maker.make(name, relays, new Applier() {
+                @Override
+                public void check(State next) {
+                }
+
+                @Override
+                public void apply(State next) {
+                    journal.add(new Applied(FeedRouters.unix(), router, 1, next.version(), next.reckoned()));
+                }
+            })) {
+                write(log, "long", "a text that is longer than what the changes come to ".repeat(20));
+                old.set("long", "a text that is longer than what the changes come to ".repeat(20));
+                Thread thread = new Thread(subscriber);
+                thread.setDaemon(true);
+                thread.start();
+                for (int burst = 0; burst < 4; burst++) {
+                    for (int i = 0; i < 5; i++) {
+                        write(log, "d" + i, "text " + burst);
+                    }
+                    long version = logged.size();
+                    await().atMost(Duration.ofSeconds(20)).until(() -> journal.stream().anyMatch(each ->
+                            each.version() == version));
+                }
+                a.close();
+                Thread.sleep(2_000);
+            }
+        }
+    }
+
+    private static boolean first(String name) {
+        // As Rendezvous has it, told from outside: which of two relays a subscriber polls first.
+        return beaconladder.feed.Orders.first(name, List.of("a", "b")).equals("a");
+    }
+
+    private void write(LogStandIn log, String name, String text) {
+        State state = log.set(name, text);
+        long now = FeedRouters.unix();
+        logged.add(new Logged(state.version(), state.digest(), now, now, "test"));
+    }
+
+    // ---- Times --------------------------------------------------------------------------------------------
+
+    @Test
+    void timesCountFromTheLogsAnswerAndAnOutagesEnd() {
+        logged.add(new Logged(1, "x", 0, 10 * SECOND, "test"));
+        journal.add(new Applied(11 * SECOND, "a", 1, 1, "x"));
+        journal.add(new Applied(15 * SECOND, "b", 1, 1, "x"));
+        assertThat(inForce(List.of("a", "b"), List.of())).anyMatch(line -> line.startsWith("at too many"))
+                .noneMatch(line -> line.startsWith("in force too late"));
+        assertThat(inForce(List.of("a", "b"), List.of(new Outage("b"::equals, 9 * SECOND, 14 * SECOND))))
+                .isEmpty();
+        // One that begins after the version was in force, or of another router, excuses nothing.
+        assertThat(inForce(List.of("a", "b"), List.of(new Outage("b"::equals, 16 * SECOND, 19 * SECOND))))
+                .isNotEmpty();
+        assertThat(inForce(List.of("a", "b"), List.of(new Outage("a"::equals, 9 * SECOND, 14 * SECOND))))
+                .isNotEmpty();
+        assertThat(inForce(List.of("a", "c"), List.of())).anyMatch(line -> line.startsWith("never"));
+        journal.add(new Applied(17 * SECOND, "c", 1, 1, "x"));
+        assertThat(inForce(List.of("a", "c"), List.of()))
+                .anyMatch(line -> line.startsWith("in force too late"));
+    }
+
+    @Test
+    void aNewerVersionIsAsGoodAndOneInAThousandMayBeLate() {
+        logged.add(new Logged(1, "x", 0, 10 * SECOND, "test"));
+        List<String> routers = new ArrayList<>();
+        for (int i = 0; i < 1_000; i++) {
+            routers.add("n" + i);
+            journal.add(new Applied((i == 0 ? 14 : 11) * SECOND, "n" + i, 1, 2, "y"));
+        }
+        assertThat(inForce(routers, List.of())).isEmpty();
+        assertThat(inForce(routers.subList(0, 999), List.of())).isNotEmpty();
+    }
+
+    private List<String> inForce(List<String> routers, List<Outage> outages) {
+        return new FeedJudge(logged, journal, outages).inForce(routers, 1_000, 3 * SECOND, 6 * SECOND,
+                nanos -> { }, each -> true).verdict().broken();
+    }
+
+    @Test
+    void aJournalsLineIsReadWholeOrNotAtAll() {
+        assertThat(Applied.of("A 5 n1 1 2 0123456789abcdef0123456789abcdef")).isEqualTo(new Applied(5, "n1",
+                1, 2, "0123456789abcdef0123456789abcdef"));
+        for (String cut : List.of("", "A 5", "A 5 n1 1 2 0123456789ab", "G 5 n1 1 2")) {
+            assertThat(Applied.of(cut)).isNull();
+        }
+    }
+}
