--- a/src/main/java/beaconladder/feed/Follower.java
+++ b/src/main/java/beaconladder/feed/Follower.java
@@ -25,8 +25,12 @@
     static final long FRESH_MILLIS = WAIT_MILLIS + 100;
     /** Between two rounds at grantors of whom none leads. */
     private static final int ROUND_MILLIS = 100;
-    /** A burst reaches routers in steps of this; a hundred changes in a second are ten answers each. */
+    /**
+     * A lone change goes on at once; while more come, routers are told in steps that grow from here to half a
+     * second, so that a burst is a few answers to each of them and not one for each change.
+     */
     private static final int STEP_MILLIS = 100;
+    private static final int LONGEST_STEP_MILLIS = 500;
     /** Milliseconds that stand for never: thirty years. */
     private static final long NEVER = 1_000_000_000_000L;
 
@@ -60,6 +64,7 @@
     @Override
     public void run() {
         int failed = 0;
+        int step = 0;
         while (!closed) {
             try {
                 boolean newer = poll();
@@ -69,9 +74,8 @@
                             board.now().newest().version());
                     away = false;
                 }
-                if (newer) {
-                    pause(STEP_MILLIS);
-                }
+                step = newer ? Math.min(LONGEST_STEP_MILLIS, step == 0 ? STEP_MILLIS : 2 * step) : 0;
+                pause(step);
             } catch (IOException | RuntimeException e) {
                 at = (at + 1) % doors.size();
                 if (++failed % doors.size() == 0) {
--- a/src/main/java/beaconladder/lab/FeedFleet.java
+++ b/src/main/java/beaconladder/lab/FeedFleet.java
@@ -21,8 +21,8 @@
     /** Routers with a process and a disk of their own. */
     static final int REAL = 2;
     private static final int READY_MILLIS = 30_000;
-    /** Stacks of tasks are outside the heap; a hollow router's state and buffers are within it. */
-    private static final List<String> LARGE = List.of("-Xmx384m");
+    /** Stacks of tasks are outside the heap; a thousand routers' states and buffers are within it. */
+    private static final List<String> LARGE = List.of("-Xmx192m");
 
     final FeedLinks links;
     final List<InetSocketAddress> doors = new ArrayList<>();
