--- a/src/main/java/beaconladder/app/LabFeedCommand.java
+++ b/src/main/java/beaconladder/app/LabFeedCommand.java
@@ -103,8 +103,6 @@
         private List<String> relays;
         @Option(names = "--journal", required = true)
         private Path journal;
-        @Option(names = "--store")
-        private Path store;
 
         @Override
         public Integer call() throws IOException, InterruptedException {
@@ -113,7 +111,7 @@
                 all.put(each.substring(0, each.indexOf('=')),
                         Watch.address(each.substring(each.indexOf('=') + 1)));
             }
-            FeedRouters.run(prefix, from, count, all, journal, store);
+            FeedRouters.run(prefix, from, count, all, journal);
             return 0;
         }
     }
--- a/src/main/java/beaconladder/app/ServeCommand.java
+++ b/src/main/java/beaconladder/app/ServeCommand.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -15,14 +16,32 @@
     @Option(names = "--plan", paramLabel = "FILE", description =
             "The operators' plan: cells and who lives in them.")
     private Path plan;
+    @Option(names = "--feed", split = ",", paramLabel = "NAME=ADDRESS:PORT", description =
+            "Relays, all of them: the router takes what they tell of settings and plans.")
+    private List<String> relays;
+    @Option(names = "--feed-store", paramLabel = "FOLDER", defaultValue = "router-feed", description =
+            "Where it keeps what it was told (default: ${DEFAULT-VALUE}).")
+    private Path store;
+    @Option(names = "--feed-journal", hidden = true)
+    private Path journal;
 
     @Override
     public Integer call() {
-        return serve(plan);
+        return relays == null ? serve(plan) : serve(plan, file -> new FedRouter(file, plan, relays, store,
+                journal));
+    }
+
+    /** What a router that takes part in the feed is told of itself. */
+    private interface Feed {
+        FedRouter of(Path file) throws IOException;
     }
 
     /** Serves until a signal ends it. */
     static int serve(Path plan) {
+        return serve(plan, null);
+    }
+
+    private static int serve(Path plan, Feed feed) {
         Hangups hangups = new Hangups();
         String file = System.getenv("BALANCER_CONFIG");
         Thread ends = null;
@@ -30,8 +49,9 @@
             if (file == null) {
                 throw new IOException("BALANCER_CONFIG names no file");
             }
-            Serve router = new Serve(Path.of(file), plan);
-            hangups.run(router::reload);
+            FedRouter fed = feed == null ? null : feed.of(Path.of(file));
+            Serve router = fed == null ? new Serve(Path.of(file), plan) : fed.router();
+            hangups.run(fed == null ? router::reload : fed::reload);
             ends = new Thread(() -> {
                 try {
                     router.drain();
--- a/src/main/java/beaconladder/feed/Applier.java
+++ b/src/main/java/beaconladder/feed/Applier.java
@@ -11,6 +11,10 @@
      */
     void check(State next) throws IOException;
 
-    /** Puts it in force. It was checked, and is on the disk already. */
+    /**
+     * Puts it in force. It was checked, and is on the disk already.
+     *
+     * @throws IOException what is wrong with it after all; then all is as before, and it is refused
+     */
     void apply(State next) throws IOException;
 }
--- a/src/main/java/beaconladder/feed/Subscriber.java
+++ b/src/main/java/beaconladder/feed/Subscriber.java
@@ -74,6 +74,11 @@
         return inForce;
     }
 
+    /** What was in force when this router ended, to start with; nothing at a first start. */
+    public State kept() {
+        return disk.kept().state();
+    }
+
     /** How long ago it was known to be the newest, in milliseconds; or Long.MAX_VALUE where it never was. */
     public long ageMillis() {
         return known ? (System.nanoTime() - heard) / 1_000_000 : Long.MAX_VALUE;
@@ -137,8 +142,15 @@
         }
         try {
             applier.check(next);
+            // Before it is in force: after a kill right now this router must not go back.
+            Disk.Kept before = disk.kept();
             disk.keep(next, System.currentTimeMillis());
-            applier.apply(next);
+            try {
+                applier.apply(next);
+            } catch (IOException e) {
+                disk.keep(before.state(), before.heard());
+                throw e;
+            }
             inForce = next.version();
             refused = 0;
         } catch (IOException e) {
--- a/src/main/java/beaconladder/lab/FeedFaults.java
+++ b/src/main/java/beaconladder/lab/FeedFaults.java
@@ -223,7 +223,7 @@
     /** The router that refuses goes on with what it had; the sums say so. */
     private void refusal(String phase) throws IOException, InterruptedException {
         writer.change(phase);
-        writer.refusal("m0", phase);
+        writer.refusal("n0", phase);
         long version = writer.log().size();
         long until = System.nanoTime() + 2 * lasts * 1_000_000L;
         long from = FeedRouters.unix();
@@ -237,6 +237,6 @@
             Thread.sleep(50);
         }
         writer.refusal(null, phase);
-        outages.add(new Outage("m0"::equals, from - 1_000_000_000L, FeedRouters.unix()));
+        outages.add(new Outage("n0"::equals, from - 1_000_000_000L, FeedRouters.unix()));
     }
 }
--- a/src/main/java/beaconladder/lab/FeedFleet.java
+++ b/src/main/java/beaconladder/lab/FeedFleet.java
@@ -18,8 +18,11 @@
 /** Grantors, relays, real and hollow routers of the feed's rehearsal, each process the program itself. */
 final class FeedFleet implements AutoCloseable {
     private static final int GRANTORS = 3;
-    /** Routers with a process and a disk of their own. */
+    /** Routers as they are, with a process and a disk of their own. */
     static final int REAL = 2;
+    /** Nobody is there; a router wants to know of a host before it serves. */
+    private static final String HOST = "{\"id\":\"h0\",\"addr\":\"127.0.0.1:9\",\"zone\":\"east\",\"cell\":0,"
+            + "\"state\":\"Ready\",\"started_ms\":0,\"role\":\"leader\"}";
     private static final int READY_MILLIS = 30_000;
     /** Stacks of tasks are outside the heap; a thousand routers' states and buffers are within it. */
     private static final List<String> LARGE = List.of("-Xmx192m");
@@ -34,6 +37,7 @@
     private final Path folder;
     private final int routers;
     private final Programs programs;
+    private final DiscoveryStandIn discovery = new DiscoveryStandIn();
     private final long seed;
     private int ports;
 
@@ -42,6 +46,7 @@
         this.seed = seed;
         this.routers = routers;
         programs = new Programs(folder);
+        discovery.list(true, HOST);
         int[] raft = new int[GRANTORS];
         for (int i = 0; i < GRANTORS; i++) {
             raft[i] = port();
@@ -69,10 +74,10 @@
             }
         }
         for (int i = 0; i < REAL; i++) {
-            real.add(programs.program("m" + i, null, "lab", "feed-routers", "--prefix", "m", "--from",
-                    "" + i, "--count", "1", "--relays", named(links.relaysFromReal(i)), "--journal",
-                    folder.resolve("m" + i + ".journal").toString(), "--store",
-                    folder.resolve("states").toString()));
+            real.add(programs.program("m" + i, RouterFile.of("m" + i, port(), discovery, 256, 192, HOST),
+                    "serve", "--feed", named(links.relaysFromReal(i)), "--feed-store",
+                    folder.resolve("fed" + i).toString(), "--feed-journal",
+                    folder.resolve("m" + i + ".journal").toString()));
         }
         boolean started = false;
         try {
@@ -221,5 +226,6 @@
     public void close() throws IOException {
         programs.close();
         links.close();
+        discovery.close();
     }
 }
--- a/src/main/java/beaconladder/lab/FeedRouters.java
+++ b/src/main/java/beaconladder/lab/FeedRouters.java
@@ -34,8 +34,7 @@
     }
 
     /** Writes what a router puts in force; a document named {@code refuse} that names it is refused. */
-    private record Journal(String router, long life, BufferedWriter out, boolean flushes)
-            implements Applier {
+    private record Journal(String router, long life, BufferedWriter out) implements Applier {
         @Override
         public void check(State next) throws IOException {
             if (router.equals(next.entries().get("refuse"))) {
@@ -49,28 +48,20 @@
                     + next.reckoned() + '\n';
             synchronized (out) {
                 out.write(line);
-                if (flushes) {
-                    out.flush();
-                }
             }
         }
     }
 
-    /**
-     * Runs them until a signal ends the process.
-     *
-     * @param store the folder for their states, or null
-     */
+    /** Runs them until a signal ends the process, on no disk: two thousand of them would be all it does. */
     public static void run(String prefix, int from, int count, Map<String, InetSocketAddress> relays,
-            Path journal, Path store) throws IOException, InterruptedException {
+            Path journal) throws IOException, InterruptedException {
         BufferedWriter out = Files.newBufferedWriter(journal, StandardOpenOption.CREATE,
                 StandardOpenOption.APPEND);
         long life = System.currentTimeMillis();
         List<Subscriber> all = new ArrayList<>();
         for (int i = from; i < from + count; i++) {
             String name = prefix + i;
-            all.add(new Subscriber(name, life, relays, store == null ? null : store.resolve(name),
-                    new Journal(name, life, out, store != null)));
+            all.add(new Subscriber(name, life, relays, null, new Journal(name, life, out)));
         }
         for (Subscriber each : all) {
             Thread thread = new Thread(null, each, "subscriber", STACK);
--- a/src/main/java/beaconladder/serve/Serve.java
+++ b/src/main/java/beaconladder/serve/Serve.java
@@ -119,11 +119,21 @@
         }
     }
 
+    /** Looks at a file, and a plan or null, as a start would; what is wrong is the exception's message. */
+    public static void check(Path file, Path plan) throws IOException {
+        Stated.read(file);
+        if (plan != null) {
+            territory(plan);
+        }
+    }
+
     /**
      * Reads the file again. Discovery's address counts at once, and all that the router holds stays; what
      * else has changed waits for a restart. A file that can't be read whole changes nothing.
+     *
+     * @return whether it counts now
      */
-    public synchronized void reload() {
+    public synchronized boolean reload() {
         try {
             Stated next = Stated.read(file);
             List<String> waits = new ArrayList<>();
@@ -140,8 +150,10 @@
             watch.moveTo(next.discovery());
             LOG.info("reloaded: discovery is at {}{}", next.discovery(),
                     waits.isEmpty() ? "" : "; for a restart: " + String.join(", ", waits));
+            return true;
         } catch (IOException | RuntimeException e) {
             LOG.warn("not reloaded, all stays as it was: {}", e.toString());
+            return false;
         }
     }
 
--- /dev/null
+++ b/src/test/java/beaconladder/lab/FedRouterIT.java
@@ -0,0 +1,86 @@
+package beaconladder.lab;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import beaconladder.feed.LogStandIn;
+import beaconladder.feed.Proposal;
+import beaconladder.feed.Proposer;
+import beaconladder.feed.Relay;
+import beaconladder.feed.Report;
+import beaconladder.lab.Programs.Program;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A router that takes part in the feed: what it is told counts, is refused, and is there after a kill. */
+@Timeout(120)
+class FedRouterIT {
+    private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    private static final Duration LONG = Duration.ofSeconds(30);
+    private static final String HOST = "{\"id\":\"h0\",\"addr\":\"127.0.0.1:9\",\"zone\":\"east\",\"cell\":0,"
+            + "\"state\":\"Ready\",\"started_ms\":0,\"role\":\"leader\"}";
+
+    @Test
+    void whatItIsToldCountsOrIsRefusedAndIsThereAfterAKill(@TempDir Path folder) throws Exception {
+        try (LogStandIn log = new LogStandIn(); DiscoveryStandIn first = new DiscoveryStandIn();
+                DiscoveryStandIn second = new DiscoveryStandIn(); Programs programs = new Programs(folder)) {
+            first.list(true, HOST);
+            second.list(true, HOST);
+            Relay relay = new Relay("a", ANY, List.of(log.at()), null, 10);
+            Program router = programs.program("m0", RouterFile.of("m0", Programs.freePort(), first, 256, 192,
+                    HOST), "serve", "--feed", "a=127.0.0.1:" + relay.at().getPort(), "--feed-store",
+                    folder.resolve("fed").toString());
+            router.start();
+            await().atMost(LONG).until(() -> first.calls.get() > 0);
+            assertThat(second.calls.get()).isZero();
+
+            // Discovery's address counts at once.
+            Proposer proposer = new Proposer(List.of(log.at()), 5_000);
+            String moved = "{\"discovery\":\"127.0.0.1:" + second.door.getLocalPort() + "\"}";
+            proposer.propose(new Proposal(0, Map.of("router.json", moved), List.of()));
+            await().atMost(LONG).until(() -> second.calls.get() > 0);
+            await().atMost(LONG).until(() -> proposer.status().counts().equals(
+                    List.of(new Report.Count(1, 1, 0))));
+
+            // What can't be read, or is not the feed's, is refused, and said so.
+            proposer.propose(new Proposal(1, Map.of("router.json", "{\"discovery\":\"nowhere\"}"),
+                    List.of()));
+            await().atMost(LONG).until(() -> proposer.status().counts().equals(
+                    List.of(new Report.Count(2, 0, 1), new Report.Count(1, 1, 0))));
+            proposer.propose(new Proposal(2, Map.of("router.json", "{\"listen\":\"127.0.0.1:1\"}"),
+                    List.of()));
+            await().atMost(LONG).until(() -> proposer.status().counts().equals(
+                    List.of(new Report.Count(3, 0, 1), new Report.Count(1, 1, 0))));
+
+            // Killed and alone, it goes on with what was in force.
+            relay.close();
+            router.kill();
+            int calls = second.calls.get();
+            int before = first.calls.get();
+            router.start();
+            await().atMost(LONG).until(() -> second.calls.get() > calls);
+            await().atMost(LONG).until(() -> router.log().contains("version 1 is in force from the disk"));
+            assertThat(first.calls.get()).isEqualTo(before);
+        }
+    }
+
+    @Test
+    void aRelayThatCantBeReadEndsTheStart(@TempDir Path folder) throws Exception {
+        try (DiscoveryStandIn discovery = new DiscoveryStandIn(); Programs programs = new Programs(folder)) {
+            Program router = programs.program("m0", RouterFile.of("m0", Programs.freePort(), discovery, 256,
+                    192, HOST), "serve", "--feed", "a=nowhere", "--feed-store",
+                    folder.resolve("fed").toString());
+            router.start();
+            assertThat(router.ended(20_000)).isTrue();
+            assertThat(router.exit()).isEqualTo(1);
+            assertThat(router.log()).contains("'a=nowhere' is no NAME=ADDRESS:PORT of a relay");
+        }
+    }
+}
