--- a/src/main/java/beaconladder/lab/FeedFleet.java
+++ b/src/main/java/beaconladder/lab/FeedFleet.java
@@ -96,9 +96,9 @@
         }
     }
 
-    /** Below those that the system hands out, so that nobody takes one while its process is down. */
+    /** Below those that the system hands out, and those of the rehearsal of leases, so that all stay free. */
     private int port() {
-        return 20_000 + (int) Math.floorMod(seed, 100L) * 100 + ports++;
+        return 10_000 + (int) Math.floorMod(seed, 100L) * 100 + ports++;
     }
 
     private static InetSocketAddress loopback(int port) {
