--- a/src/test/java/beaconladder/feed/FeedSubscriberTest.java
+++ b/src/test/java/beaconladder/feed/FeedSubscriberTest.java
@@ -160,7 +160,7 @@
         String first = Rendezvous.order("n", List.of("a", "b")).get(0);
         Relay old = relay(first, log, folder.resolve("now"));
         State one = log.set("x", "1");
-        await().atMost(LONG).until(() -> Files.exists(folder.resolve("now")) && kept(folder, old) == 1);
+        await().atMost(LONG).until(() -> Files.exists(folder.resolve("now")) && kept(old) == 1);
         old.close();
         relays.clear();
         LogStandIn away = log();
@@ -177,10 +177,14 @@
         assertThat(keeps.applied).isSubsetOf(one, two).endsWith(two);
     }
 
-    private static long kept(Path folder, Relay relay) throws IOException {
+    private static long kept(Relay relay) throws IOException {
+        return status(relay).version();
+    }
+
+    private static Relay.Status status(Relay relay) throws IOException {
         beaconladder.roster.HttpGet http = new beaconladder.roster.HttpGet(relay.at());
         try {
-            return FeedText.read(http.get("/v1/relay", 1_000), Relay.Status.class).version();
+            return FeedText.read(http.get("/v1/relay", 1_000), Relay.Status.class);
         } finally {
             http.end();
         }
@@ -216,6 +220,26 @@
                 .isInstanceOf(java.net.SocketTimeoutException.class);
     }
 
+    @Test
+    void aRouterThatDoesNotReadIsCutOffAndNothingQueuesForIt() throws Exception {
+        LogStandIn log = log();
+        log.set("x", "x".repeat(State.LARGEST / 2));
+        Relay relay = open(new Relay("a", ANY, List.of(log.at()), null, 10));
+        await().atMost(LONG).until(() -> kept(relay) == 1);
+        Socket slow = open(new Socket());
+        slow.setReceiveBufferSize(16 * 1024);
+        slow.connect(relay.at());
+        byte[] poll = ("GET /v1/feed?since=0&wait=0&name=n&life=1&force=0&refused=0 HTTP/1.1\r\n"
+                + "Host: a\r\n\r\n")
+                .getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+        for (int i = 0; i < 100; i++) {
+            slow.getOutputStream().write(poll);
+        }
+        // That of the look itself is one.
+        await().atMost(LONG).until(() -> status(relay).connections() == 1);
+        assertThat(status(relay).bytesOut()).isLessThan(50L * State.LARGEST / 2);
+    }
+
     @Test
     void whatIsNoPollIsAnsweredSoAndTheConnectionEnds() throws Exception {
         Relay relay = open(new Relay("a", ANY, List.of(log().at()), null, 10));
