--- a/src/main/java/beaconladder/feed/Update.java
+++ b/src/main/java/beaconladder/feed/Update.java
@@ -13,8 +13,8 @@
  * @param changes   from the asker's version to the newest one, where there is no base
  */
 public record Update(@JsonProperty(required = true) long version,
-        @JsonProperty(required = true) String digest, @JsonProperty(required = true) long lagMillis, State base,
-        @JsonProperty(required = true) List<Change> changes) {
+        @JsonProperty(required = true) String digest, @JsonProperty(required = true) long lagMillis,
+        State base, @JsonProperty(required = true) List<Change> changes) {
     /** Copies, so that nobody changes it later. */
     public Update {
         changes = List.copyOf(changes);
--- a/src/main/java/beaconladder/lab/FeedFleet.java
+++ b/src/main/java/beaconladder/lab/FeedFleet.java
@@ -79,6 +79,8 @@
                     folder.resolve("fed" + i).toString(), "--feed-journal",
                     folder.resolve("m" + i + ".journal").toString()));
         }
+        // Also when the rehearsal itself is ended.
+        Runtime.getRuntime().addShutdownHook(new Thread(programs::close));
         boolean started = false;
         try {
             for (List<Program> group : List.of(grantors, relays, Stream.concat(hollow.stream(),
