--- a/src/main/java/beaconladder/feed/State.java
+++ b/src/main/java/beaconladder/feed/State.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.io.IOException;
 import java.util.Collections;
+import java.util.List;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -92,14 +93,26 @@
         return of(version + 1, next);
     }
 
-    /** The next one, by a change from outside, which has to fit this one and come to its own digest. */
-    State after(Change change) throws IOException {
-        if (change.version() != version + 1) {
-            throw new IOException("a change to version " + change.version() + " where " + (version + 1)
-                    + " is next");
+    /**
+     * A later one, by changes from outside: those beyond this one have to follow on it without a gap, and
+     * come to the digest of the last. Digests between are not looked at: no state is there that has them.
+     */
+    State after(List<Change> changes) throws IOException {
+        TreeMap<String, String> next = new TreeMap<>(entries);
+        long at = version;
+        for (Change change : changes) {
+            if (change.version() <= version) {
+                continue;
+            }
+            if (change.version() != ++at) {
+                throw new IOException("a change to version " + change.version() + " where " + at
+                        + " is next");
+            }
+            Proposal.check(change.set());
+            next.putAll(change.set());
+            next.keySet().removeAll(change.remove());
         }
-        Proposal.check(change.set());
-        return after(new Proposal(version, change.set(), change.remove())).bounded()
-                .withDigest(change.digest());
+        return at == version ? this : new State(at, next, digest(at, next)).bounded()
+                .withDigest(changes.get(changes.size() - 1).digest());
     }
 }
--- a/src/main/java/beaconladder/feed/Taking.java
+++ b/src/main/java/beaconladder/feed/Taking.java
@@ -20,11 +20,7 @@
             if (told.base() != null && told.version() > held.version()) {
                 next = told.base().checked();
             } else {
-                for (Change change : told.changes()) {
-                    if (change.version() > held.version()) {
-                        next = next.after(change);
-                    }
-                }
+                next = held.after(told.changes());
             }
             if (next.version() != told.version() || !next.digest().equals(told.digest())) {
                 throw new IOException("told of version " + told.version() + " with digest " + told.digest()
