lab scale: the list and the membership by size, as lines that must foretell their largest

What a fleet of 4,100 routers before 5,800 hosts costs was reckoned or taken on trust. Each part is measured at five sizes or more; a least-squares line through all but the largest must foretell that one within a stated share, and rules compare ratios within one run. Counters are /proc's and the bytes at the sockets; times are HdrHistogram's (last of the class path: no class that a router loads is looked for behind it).

Tests: SlopeTest (squares, steps and levels refused), HollowFleetTest, ScaleTest, ScaleCommandTest, ScaleIT.

--- /dev/null
+++ b/src/main/java/beaconladder/lab/scale/Child.java
@@ -0,0 +1,102 @@
+package beaconladder.lab.scale;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A process of this program that is measured from outside; it ends with its owner. */
+final class Child implements AutoCloseable {
+    /** As the `run` line of deploy/balancer.toml has them; a test compares. */
+    static final List<String> RUN = List.of("-XX:-UsePerfData", "-XX:+DisableAttachMechanism",
+            "-Djava.net.preferIPv4Stack=true", "-Xmx64m", "-Xss256k", "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1", "-XX:ReservedCodeCacheSize=24m", "-Djdk.nio.maxCachedBufferSize=16384",
+            "-Dslf4j.provider=org.slf4j.simple.SimpleServiceProvider", "-Dslf4j.internal.verbosity=WARN");
+    private static final int READY_MILLIS = 60_000;
+
+    private final Process process;
+    private final Path log;
+    private final Thread end = new Thread(this::kill);
+
+    private Child(ProcessBuilder builder, Path log) throws IOException {
+        this.log = log;
+        process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+        Runtime.getRuntime().addShutdownHook(end);
+    }
+
+    /** A process of this class path with these flags. */
+    static Child start(Path folder, String name, List<String> flags, String main, String... arguments)
+            throws IOException {
+        return new Child(new ProcessBuilder(line(flags, main, arguments)), folder.resolve(name + ".log"));
+    }
+
+    /** A router as operators start one. */
+    static Child router(Path folder, String name, String config) throws IOException {
+        Path file = folder.resolve(name + ".json");
+        Files.writeString(file, config);
+        ProcessBuilder builder = new ProcessBuilder(line(RUN, "beaconladder.app.Main", "serve"));
+        builder.environment().put("BALANCER_CONFIG", file.toString());
+        return new Child(builder, folder.resolve(name + ".log"));
+    }
+
+    private static List<String> line(List<String> flags, String main, String... arguments) {
+        List<String> line = new ArrayList<>();
+        line.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        line.addAll(flags);
+        line.addAll(List.of("-cp", System.getProperty("java.class.path"), main));
+        line.addAll(List.of(arguments));
+        return line;
+    }
+
+    /** A port that was free a moment ago. */
+    static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
+    /** Waits until somebody listens at this port. */
+    void listens(int port) throws IOException, InterruptedException {
+        long until = System.nanoTime() + READY_MILLIS * 1_000_000L;
+        while (System.nanoTime() < until && process.isAlive()) {
+            try {
+                new Socket(InetAddress.getLoopbackAddress(), port).close();
+                return;
+            } catch (IOException e) {
+                Thread.sleep(20);
+            }
+        }
+        throw new IOException("a process of the test did not come up: " + log());
+    }
+
+    Counters counters() throws IOException {
+        return Counters.of(process.pid());
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    String log() throws IOException {
+        return Files.readString(log);
+    }
+
+    private void kill() {
+        process.destroyForcibly();
+    }
+
+    @Override
+    public void close() {
+        kill();
+        process.onExit().join();
+        try {
+            Runtime.getRuntime().removeShutdownHook(end);
+        } catch (IllegalStateException e) {
+            // The program ends already.
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/lab/scale/Look.java
@@ -0,0 +1,46 @@
+package beaconladder.lab.scale;
+
+import beaconladder.members.Member;
+import beaconladder.members.Member.State;
+import beaconladder.members.Swim;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What one look of a settled member costs: at, wake and view, as its loop calls them. */
+final class Look {
+    private static final long DUE_NEVER = 1;
+
+    private Look() {
+    }
+
+    /** Microseconds for at and wake, and for view, among so many; the least of several rounds. */
+    static double[] micros(int members, int rounds) {
+        List<Member> all = new ArrayList<>();
+        for (int i = 0; i < members; i++) {
+            all.add(new Member("r" + i, "10.0." + (i >> 8) + "." + (i & 255) + ":7946", 1, State.ALIVE));
+        }
+        Swim swim = new Swim("self", "10.9.9.9:7946", 1, List.of(), 1);
+        Settled.introduce(swim, all.get(0), all, 0);
+        Settled.settle(swim);
+        swim.at(0);
+        double[] least = {Double.MAX_VALUE, Double.MAX_VALUE};
+        int looks = Math.max(20, 400_000 / members);
+        long sum = 0;
+        for (int round = 0; round < rounds; round++) {
+            long from = System.nanoTime();
+            for (int i = 0; i < looks; i++) {
+                sum += swim.at(DUE_NEVER).size() + swim.wake();
+            }
+            long half = System.nanoTime();
+            for (int i = 0; i < looks; i++) {
+                sum += swim.view(DUE_NEVER).present().size();
+            }
+            least[0] = Math.min(least[0], (half - from) / 1e3 / looks);
+            least[1] = Math.min(least[1], (System.nanoTime() - half) / 1e3 / looks);
+        }
+        if (sum == 0) {
+            throw new IllegalStateException("nothing was looked at");
+        }
+        return least;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/lab/scale/RouterText.java
@@ -0,0 +1,27 @@
+package beaconladder.lab.scale;
+
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** The file that tells a router what it needs. */
+final class RouterText {
+    private RouterText() {
+    }
+
+    static String of(String name, int port, int discovery, int sockets) {
+        String types = Stream.of("any", "fresh", "own", "write").map(type -> """
+                {"name":"%s","effect":"%s","goal_time_us":500000,"give_up_us":2000000,"late_share":0.5,\
+                "points":1.0}""".formatted(type, type.equals("write") ? "side_effect" : "pure"))
+                .collect(Collectors.joining(","));
+        return """
+                {"name":"%s","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"1f",
+                 "limits":{"sockets":%d,"memory_mb":192},"known":{"version":0,"full":true,"servers":[]},
+                 "settings":{"family_info":{"freshness":["loose","recent","own_writes","update"],
+                  "oldest_data_us":[0,500000,0,0],"session_marks":"client"},"fees":{"probe":0.069},
+                  "limits":{"max_attempts":10,"second_copies":true,"cancel":true,"probes":true,
+                   "dial_timeout_us":250000,"conn_idle_us":3000000},"rules":{"drain_grace_us":2000000},
+                  "load_report":{"fields":["x0","x1","rif"],"how":"inline"},"parties":[{"name":"acme"}],
+                  "round_us":5000,"replicas_of_me":1,"zones":["z0","z1"],"request_classes":[%s]}}"""
+                .formatted(name, port, discovery, sockets, types);
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/lab/scale/Settled.java
@@ -0,0 +1,45 @@
+package beaconladder.lab.scale;
+
+import beaconladder.members.Member;
+import beaconladder.members.Message;
+import beaconladder.members.Swim;
+import java.lang.reflect.Field;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A member that has known all others for long. By itself it comes there only once it has told each of them as
+ * news, some twenty times: with thousands that takes half an hour, which a test does not have.
+ */
+final class Settled {
+    private static final int NEWS = 10;
+
+    private Settled() {
+    }
+
+    /** Tells it of all these, in messages as a newcomer is told. */
+    static void introduce(Swim swim, Member from, List<Member> all, long now) {
+        for (int i = 0; i < all.size(); i += NEWS) {
+            swim.heard(new Message(Message.Kind.NO_ANSWER, from, 0, "",
+                    all.subList(i, Math.min(all.size(), i + NEWS))), now);
+        }
+    }
+
+    /** Nothing that it knows is news any more. */
+    static void settle(Swim swim) {
+        try {
+            Field known = Swim.class.getDeclaredField("known");
+            known.setAccessible(true);
+            Field told = null;
+            for (Object each : ((Map<?, ?>) known.get(swim)).values()) {
+                if (told == null) {
+                    told = each.getClass().getDeclaredField("told");
+                    told.setAccessible(true);
+                }
+                told.setInt(each, Integer.MAX_VALUE / 2);
+            }
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
