--- a/src/main/java/beaconladder/lab/scale/Child.java
+++ b/src/main/java/beaconladder/lab/scale/Child.java
@@ -31,27 +31,38 @@
     /** A process of this class path with these flags. */
     static Child start(Path folder, String name, List<String> flags, String main, String... arguments)
             throws IOException {
-        return new Child(new ProcessBuilder(line(flags, main, arguments)), folder.resolve(name + ".log"));
+        return new Child(new ProcessBuilder(line(flags, classes(), main, arguments)),
+                folder.resolve(name + ".log"));
     }
 
     /** A router as operators start one. */
     static Child router(Path folder, String name, String config) throws IOException {
         Path file = folder.resolve(name + ".json");
         Files.writeString(file, config);
-        ProcessBuilder builder = new ProcessBuilder(line(RUN, "beaconladder.app.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(line(RUN, System.getProperty("java.class.path"),
+                "beaconladder.app.Main", "serve"));
         builder.environment().put("BALANCER_CONFIG", file.toString());
         return new Child(builder, folder.resolve(name + ".log"));
     }
 
-    private static List<String> line(List<String> flags, String main, String... arguments) {
+    private static List<String> line(List<String> flags, String classes, String main, String... arguments) {
         List<String> line = new ArrayList<>();
         line.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         line.addAll(flags);
-        line.addAll(List.of("-cp", System.getProperty("java.class.path"), main));
+        line.addAll(List.of("-cp", classes, main));
         line.addAll(List.of(arguments));
         return line;
     }
 
+    /** This program's own; behind it, where it is a jar, what grantors need beside it. */
+    private static String classes() {
+        String own = System.getProperty("java.class.path");
+        Path jar = Path.of(own.split(java.io.File.pathSeparator)[0]).toAbsolutePath();
+        Path grantors = jar.resolveSibling("grantors");
+        return jar.toString().endsWith(".jar") && Files.isDirectory(grantors)
+                ? own + java.io.File.pathSeparator + grantors + "/*" : own;
+    }
+
     /** A port that was free a moment ago. */
     static int freePort() throws IOException {
         try (ServerSocket free = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
--- /dev/null
+++ b/src/main/java/beaconladder/lab/scale/ClientsPart.java
@@ -0,0 +1,124 @@
+package beaconladder.lab.scale;
+
+import beaconladder.lab.HostStandIn;
+import beaconladder.lab.scale.Slope.Point;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * Clients. Real: a router process with the flags of `run`, its sockets, and its connections to clients and
+ * hosts. Hollow: three stand-in hosts of one group that answer at once, clients that are a socket each.
+ */
+final class ClientsPart implements Part {
+    private static final int CONNECTIONS = 4_390;
+    private static final int TXNS = 902;
+    /** Idle clients beyond an eighth of the descriptors are let go after some seconds. */
+    private static final int SOCKETS = 18_000;
+    private static final List<Integer> RATES = List.of(50, 100, 200, 400, 800);
+    private static final List<Integer> RATES_SMALL = List.of(50, 100, 150, 200, 400);
+    private static final int WORKING = 200;
+
+    @Override
+    public String of() {
+        return "connections";
+    }
+
+    @Override
+    public List<Integer> sizes(boolean small) {
+        return small ? List.of(20, 40, 80, 160, 240) : List.of(100, 250, 500, 1_000, 2_000);
+    }
+
+    @Override
+    public long bytes(List<Integer> sizes) {
+        long most = sizes.stream().mapToLong(n -> n).max().orElse(0);
+        // Both ends of each connection are on this machine; at work each has a thread there.
+        return 400_000_000L + 350_000 * most;
+    }
+
+    @Override
+    public void measure(List<Integer> sizes, boolean small, SplittableRandom chance, Path folder,
+            Report report) throws IOException, InterruptedException {
+        List<HostStandIn> hosts = new ArrayList<>();
+        for (String role : List.of("leader", "follower", "follower")) {
+            hosts.add(new HostStandIn(role) {
+                @Override
+                protected void saw(String text) {
+                    // It keeps none: it would hold more than the router that is measured.
+                }
+            });
+        }
+        try (ListStandIn list = new ListStandIn(hosts.size(), i -> hosts.get(i).port())) {
+            connections(sizes, small, list, folder, report);
+            txns(small ? RATES_SMALL : RATES, small, list, chance, folder, report);
+            if (!small) {
+                HostsAtWork.measure(hosts, chance, folder, report);
+            }
+        } finally {
+            for (HostStandIn host : hosts) {
+                host.close();
+            }
+        }
+    }
+
+    static Child router(ListStandIn list, Path folder, int port, String name)
+            throws IOException, InterruptedException {
+        Child router = Child.router(folder, name, RouterText.of(name, port, list.port(), SOCKETS));
+        router.listens(port);
+        return router;
+    }
+
+    private static void connections(List<Integer> sizes, boolean small, ListStandIn list, Path folder,
+            Report report) throws IOException, InterruptedException {
+        List<Point> descriptors = new ArrayList<>();
+        List<Point> resident = new ArrayList<>();
+        List<Point> idle = new ArrayList<>();
+        for (int count : sizes) {
+            int port = Child.freePort();
+            try (Child router = router(list, folder, port, "c" + count)) {
+                int own = router.counters().descriptors();
+                try (Callers callers = new Callers(port, count)) {
+                    callers.askAll();
+                    Thread.sleep(small ? 0 : 2_000);
+                    Counters begun = router.counters();
+                    Thread.sleep(small ? 500 : 8_000);
+                    Counters now = router.counters();
+                    descriptors.add(new Point(count, now.descriptors() - own));
+                    resident.add(new Point(count, now.residentKb() / 1024.0));
+                    idle.add(new Point(count, 100 * now.cores(begun)));
+                }
+            }
+        }
+        report.slope("clients.descriptors", "more than before they came", "connections", CONNECTIONS,
+                2 * Report.COUNTED, descriptors);
+        report.slope("clients.resident_mb", "MB", "idle connections", CONNECTIONS, Report.TIMED, resident);
+        if (!small) {
+            report.slope("clients.idle_cpu_percent", "% of a core", "idle connections", CONNECTIONS,
+                    2 * Report.TIMED, idle);
+        }
+    }
+
+    private static void txns(List<Integer> rates, boolean small, ListStandIn list, SplittableRandom chance,
+            Path folder, Report report) throws IOException, InterruptedException {
+        List<Point> cores = new ArrayList<>();
+        int port = Child.freePort();
+        try (Child router = router(list, folder, port, "txns");
+                Callers callers = new Callers(port, WORKING)) {
+            callers.work(rates.get(rates.size() - 1), small ? 1 : 8, chance.split());
+            for (int rate : rates) {
+                callers.times().reset();
+                Counters before = router.counters();
+                double served = callers.work(rate, small ? 2 : 6, chance.split());
+                Counters now = router.counters();
+                cores.add(new Point(served, 100 * now.cores(before)));
+                report.times("clients.answer_us_at_" + rate, callers.times());
+            }
+            report.figure("clients.working_resident_mb", router.counters().residentKb() / 1024.0);
+            report.figure("clients.not_served", callers.failed());
+        }
+        report.slope("clients.cpu_percent", "% of a core, three hosts", "txns a second", TXNS,
+                2 * Report.TIMED, cores);
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/lab/scale/Grantors.java
@@ -0,0 +1,88 @@
+package beaconladder.lab.scale;
+
+import beaconladder.roster.HttpGet;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Three real grantors, a process each, on one machine and one disk. */
+final class Grantors implements AutoCloseable {
+    static final long LENGTH_MILLIS = 5_000;
+    static final long BOUND_MILLIS = 100;
+    private static final int COUNT = 3;
+    private static final int READY_MILLIS = 30_000;
+    /** As the rehearsal of leases starts them. */
+    private static final List<String> FLAGS = List.of("-XX:-UsePerfData", "-Xmx64m", "-Xss256k",
+            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+
+    private final List<Child> children = new ArrayList<>();
+    private final List<InetSocketAddress> doors = new ArrayList<>();
+
+    Grantors(Path folder) throws IOException, InterruptedException {
+        StringBuilder text = new StringBuilder("(leases (length " + LENGTH_MILLIS + "ms) (clock "
+                + BOUND_MILLIS + "ms) (disk 64MB))\n");
+        for (int i = 0; i < COUNT; i++) {
+            doors.add(new InetSocketAddress(InetAddress.getLoopbackAddress(), Child.freePort()));
+            text.append("(grantor k").append(i).append(" (raft 127.0.0.1:").append(Child.freePort())
+                    .append(") (at 127.0.0.1:").append(doors.get(i).getPort()).append(") (store \"")
+                    .append(folder.resolve("log" + i)).append("\"))\n");
+        }
+        Path plan = folder.resolve("leases.plan");
+        Files.writeString(plan, text);
+        for (int i = 0; i < COUNT; i++) {
+            children.add(Child.start(folder, "k" + i, FLAGS, "beaconladder.app.Main", "lease", "grant",
+                    "--plan", plan.toString(), "--name", "k" + i));
+        }
+        for (int i = 0; i < COUNT; i++) {
+            children.get(i).listens(doors.get(i).getPort());
+        }
+        long until = System.nanoTime() + READY_MILLIS * 1_000_000L;
+        while (leader() < 0) {
+            if (System.nanoTime() > until) {
+                throw new IOException("three grantors agree on no leader: " + children.get(0).log());
+            }
+            Thread.sleep(100);
+        }
+    }
+
+    List<InetSocketAddress> doors() {
+        return doors;
+    }
+
+    Child child(int grantor) {
+        return children.get(grantor);
+    }
+
+    /** Which of them leads, as most of those that are there say, or -1. */
+    int leader() {
+        int[] votes = new int[COUNT];
+        for (int i = 0; i < COUNT; i++) {
+            HttpGet get = new HttpGet(doors.get(i));
+            try {
+                String name = get.get("/v1/leader", 1_000).replaceAll(".*\"leader\":\"k?(\\d*)\".*", "$1");
+                if (!name.isEmpty()) {
+                    votes[Integer.parseInt(name)]++;
+                }
+            } catch (IOException e) {
+                // It is not there.
+            } finally {
+                get.end();
+            }
+        }
+        for (int i = 0; i < COUNT; i++) {
+            if (votes[i] >= 2 && children.get(i) != null) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    @Override
+    public void close() {
+        children.forEach(Child::close);
+    }
+}
--- a/src/main/java/beaconladder/lab/scale/ListStandIn.java
+++ b/src/main/java/beaconladder/lab/scale/ListStandIn.java
@@ -11,6 +11,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntUnaryOperator;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
 
@@ -24,7 +25,7 @@
     private static final int LONGEST_HEAD = 8 * 1024;
 
     private final ServerSocket door = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
-    private final int hostPort;
+    private final IntUnaryOperator ports;
     private final String[] states;
     private final long[] changed;
     private long version = 1;
@@ -41,8 +42,13 @@
     private volatile Histogram applied = histogram();
 
     /** A list of so many hosts, all of them at this port. */
-    ListStandIn(int hosts, int hostPort) throws IOException {
-        this.hostPort = hostPort;
+    ListStandIn(int hosts, int port) throws IOException {
+        this(hosts, host -> port);
+    }
+
+    /** A list of so many hosts at these ports. */
+    ListStandIn(int hosts, IntUnaryOperator ports) throws IOException {
+        this.ports = ports;
         states = new String[hosts];
         changed = new long[hosts];
         java.util.Arrays.fill(states, "Ready");
@@ -118,9 +124,10 @@
     }
 
     String entry(int host) {
-        return "{\"id\":\"s-" + Integer.toHexString(0x5be20000 + host) + "\",\"addr\":\"127.0.0.1:" + hostPort
-                + "\",\"zone\":\"z" + host % 9 + "\",\"kind\":\"m2\",\"cell\":" + host / MEMBERS
-                + ",\"state\":\"" + states[host] + "\",\"weight\":1.0,\"started_ms\":0,\"role\":\""
+        return "{\"id\":\"s-" + Integer.toHexString(0x5be20000 + host) + "\",\"addr\":\"127.0.0.1:"
+                + ports.applyAsInt(host) + "\",\"zone\":\"z" + host % 9 + "\",\"kind\":\"m2\",\"cell\":"
+                + host / MEMBERS + ",\"state\":\"" + states[host]
+                + "\",\"weight\":1.0,\"started_ms\":0,\"role\":\""
                 + (host % MEMBERS == 0 ? "leader" : "follower") + "\"}";
     }
 
--- a/src/main/java/beaconladder/lab/scale/Scale.java
+++ b/src/main/java/beaconladder/lab/scale/Scale.java
@@ -20,7 +20,11 @@
         /** The list of hosts: a real router before N listed hosts; hollow watches. */
         LIST(ListPart::new),
         /** The fleet's membership: one real member among N hollow ones; N hollow ones by themselves. */
-        MEMBERS(MembersPart::new);
+        MEMBERS(MembersPart::new),
+        /** Leases: three real grantors under hollow askers; the pure part by tasks. */
+        LEASES(LeasesPart::new),
+        /** Clients: a real router by connections, idle, and by txns. */
+        CLIENTS(ClientsPart::new);
 
         private final Supplier<Part> part;
 
