--- /dev/null
+++ b/src/main/java/beaconladder/lab/scale/ModulePart.java
@@ -0,0 +1,60 @@
+package beaconladder.lab.scale;
+
+import beaconladder.lab.scale.Slope.Point;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * The module by hosts, at one router's txns. Real: the module and its rounds, in this process. Hollow: the
+ * hosts, their answers and the time.
+ */
+final class ModulePart implements Part {
+    private static final int TARGET = 5_800;
+
+    @Override
+    public String of() {
+        return "hosts";
+    }
+
+    @Override
+    public List<Integer> sizes(boolean small) {
+        return small ? List.of(30, 60, 90, 120, 240) : ModuleCost.SIZES;
+    }
+
+    @Override
+    public long bytes(List<Integer> sizes) {
+        return 200_000_000L + 20_000L * sizes.stream().mapToLong(n -> n).max().orElse(0);
+    }
+
+    @Override
+    public void measure(List<Integer> sizes, boolean small, SplittableRandom chance, Path folder,
+            Report report) {
+        long seed = chance.nextLong(1 << 20);
+        // Once without being counted: compiled code finds its place.
+        ModuleCost.measure(sizes.get(0), seed);
+        List<Map<String, Object>> runs = sizes.stream().map(hosts -> ModuleCost.measure(hosts, seed))
+                .toList();
+        List<Point> micros = points(sizes, runs, "micros_a_txn");
+        if (!small) {
+            report.slope("module.micros_a_txn", "us", "hosts", TARGET, 2 * Report.TIMED, micros);
+        }
+        // Its own test holds it to twice, measured in turns; these come one after the other.
+        report.atMost("module.micros_by_hosts", micros.get(micros.size() - 1).value()
+                / micros.get(0).value(), 4);
+        report.slope("module.heap_bytes", "bytes", "hosts", TARGET, Report.TIMED,
+                sizes.stream().map(hosts -> new Point(hosts, hosts * number(runs.get(sizes.indexOf(hosts)),
+                "heap_bytes_a_host"))).toList());
+        report.figure("module.share_of_core_at_largest", number(runs.get(runs.size() - 1), "share_of_core"));
+    }
+
+    private static List<Point> points(List<Integer> sizes, List<Map<String, Object>> runs, String name) {
+        return sizes.stream().map(size -> new Point(size, number(runs.get(sizes.indexOf(size)), name)))
+                .toList();
+    }
+
+    private static double number(Map<String, Object> run, String name) {
+        return ((Number) run.get(name)).doubleValue();
+    }
+}
--- a/src/main/java/beaconladder/lab/scale/Scale.java
+++ b/src/main/java/beaconladder/lab/scale/Scale.java
@@ -24,7 +24,9 @@
         /** Leases: three real grantors under hollow askers; the pure part by tasks. */
         LEASES(LeasesPart::new),
         /** Clients: a real router by connections, idle, and by txns. */
-        CLIENTS(ClientsPart::new);
+        CLIENTS(ClientsPart::new),
+        /** The module: a txn's cost by the number of hosts. */
+        MODULE(ModulePart::new);
 
         private final Supplier<Part> part;
 
