--- a/src/main/java/beaconladder/lab/scale/Child.java
+++ b/src/main/java/beaconladder/lab/scale/Child.java
@@ -96,6 +96,12 @@
         return Files.readString(log);
     }
 
+    /** What it logged last. */
+    String lastLine() throws IOException {
+        List<String> lines = Files.readAllLines(log);
+        return lines.isEmpty() ? "nothing" : lines.get(lines.size() - 1);
+    }
+
     private void kill() {
         process.destroyForcibly();
     }
--- a/src/main/java/beaconladder/lab/scale/Scale.java
+++ b/src/main/java/beaconladder/lab/scale/Scale.java
@@ -25,6 +25,8 @@
         LEASES(LeasesPart::new),
         /** Clients: a real router by connections, idle, and by txns. */
         CLIENTS(ClientsPart::new),
+        /** The keeper of cells, by routers. */
+        KEEPER(KeeperPart::new),
         /** The module: a txn's cost by the number of hosts. */
         MODULE(ModulePart::new);
 
