--- a/src/main/java/beaconladder/lab/scale/Scale.java
+++ b/src/main/java/beaconladder/lab/scale/Scale.java
@@ -28,7 +28,9 @@
         /** The keeper of cells, by routers. */
         KEEPER(KeeperPart::new),
         /** The module: a txn's cost by the number of hosts. */
-        MODULE(ModulePart::new);
+        MODULE(ModulePart::new),
+        /** The record of positions, by groups; a zone lost, as one router sees it. */
+        POSITIONS(PositionsPart::new);
 
         private final Supplier<Part> part;
 
