--- a/src/main/java/beaconladder/lab/scale/HollowPart.java
+++ b/src/main/java/beaconladder/lab/scale/HollowPart.java
@@ -41,7 +41,7 @@
             }
         }
         report.slope("list.hollow_bytes_s", "B/s, 600 hosts", "watches", ROUTERS, 0.2, bytes);
-        report.slope("list.hollow_cpu_percent", "% of a core, 600 hosts", "watches", ROUTERS, Report.TIMED,
-                cores);
+        report.slope("list.hollow_cpu_percent", "% of a core, 600 hosts", "watches", ROUTERS,
+                2 * Report.TIMED, cores);
     }
 }
--- a/src/main/java/beaconladder/lab/scale/Pollers.java
+++ b/src/main/java/beaconladder/lab/scale/Pollers.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import org.HdrHistogram.ConcurrentHistogram;
 
 /** Routers as the keeper sees them, hollow: a connection each, on which the next call follows the answer. */
@@ -27,7 +28,10 @@
     Pollers(int port, int count, int waitMillis) {
         for (int i = 0; i < count; i++) {
             String name = "r" + i;
+            int later = (int) ((long) waitMillis * i / count);
             Thread thread = new Thread(null, () -> {
+                // Spread over a wait, as a fleet's are that began at different times.
+                LockSupport.parkNanos(later * 1_000_000L);
                 while (!closed) {
                     try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
                         socket.setTcpNoDelay(true);
