--- a/src/main/java/beaconladder/lab/scale/ListPart.java
+++ b/src/main/java/beaconladder/lab/scale/ListPart.java
@@ -109,9 +109,12 @@
                 / bytes.get(bytes.size() - 3).value(), 1.5);
         report.figure("list.change_bytes", bytes.get(bytes.size() - 1).value());
         if (!small) {
-            report.slope("list.change_cpu_us", "us a change", "hosts", TARGET, 2 * Report.TIMED,
-                    points(sites, i -> Math.max(0, 1e6 * used.get(i).seconds()
-                            * (used.get(i).cores() - rest.get(i).cores()) / count)));
+            // Nearly the same at all sizes, so that a line through it would follow what is by chance.
+            List<Point> cost = points(sites, i -> Math.max(0, 1e6 * used.get(i).seconds()
+                    * (used.get(i).cores() - rest.get(i).cores()) / count));
+            cost.forEach(p -> report.figure("list.change_cpu_us_" + (int) p.size(), p.value()));
+            report.atMost("list.change_cpu_by_hosts", cost.get(cost.size() - 1).value()
+                    / cost.get(cost.size() - 3).value(), 4);
         }
     }
 
