--- a/src/main/java/beaconladder/app/FedRouter.java
+++ b/src/main/java/beaconladder/app/FedRouter.java
@@ -16,7 +16,6 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.time.Instant;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -131,8 +130,7 @@
         String over = state.entries().get("router.json");
         if (over != null) {
             ObjectNode parts = FeedText.read(over, ObjectNode.class);
-            for (Iterator<Map.Entry<String, JsonNode>> each = parts.fields(); each.hasNext();) {
-                Map.Entry<String, JsonNode> part = each.next();
+            for (Map.Entry<String, JsonNode> part : parts.properties()) {
                 if (!PARTS.contains(part.getKey())) {
                     throw new IOException("router.json names '" + part.getKey()
                             + "', which is not the feed's");
--- a/src/main/java/beaconladder/roster/HttpGet.java
+++ b/src/main/java/beaconladder/roster/HttpGet.java
@@ -86,8 +86,13 @@
      * @throws SocketTimeoutException where it is not over by then
      */
     public String get(String path, int millis) throws IOException {
+        return get(path, millis, millis);
+    }
+
+    /** The same, with so many milliseconds from the answer's first byte to its last. */
+    public String get(String path, int millis, int tail) throws IOException {
         try {
-            return get(path, millis, millis, HttpGet::text);
+            return get(path, millis, tail, HttpGet::text);
         } catch (Json.Fault e) {
             throw new IOException(e);
         }
