--- a/src/main/java/beaconladder/lab/scale/Child.java
+++ b/src/main/java/beaconladder/lab/scale/Child.java
@@ -1,6 +1,7 @@
 package beaconladder.lab.scale;
 
 import java.io.IOException;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -70,6 +71,13 @@
         }
     }
 
+    /** The same for datagrams: those are ports of their own. */
+    static int freeDatagramPort() throws IOException {
+        try (DatagramSocket free = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+
     /** Waits until somebody listens at this port. */
     void listens(int port) throws IOException, InterruptedException {
         long until = System.nanoTime() + READY_MILLIS * 1_000_000L;
--- a/src/main/java/beaconladder/lab/scale/HollowPeers.java
+++ b/src/main/java/beaconladder/lab/scale/HollowPeers.java
@@ -24,6 +24,7 @@
     private static final int NEWS = 10;
     private static final int PERIOD_MILLIS = 500;
     private static final int PACE = 8;
+    private static final int FIRST_SECONDS = 30;
     private static final int LONGEST = 8 * 1024;
 
     private final List<DatagramChannel> channels = new ArrayList<>();
@@ -58,7 +59,11 @@
 
     /** Tells the real one of all, as a newcomer is told. */
     void introduce() throws IOException, InterruptedException {
+        long until = System.nanoTime() + FIRST_SECONDS * 1_000_000_000L;
         while (real == null) {
+            if (System.nanoTime() > until) {
+                throw new IOException("a member did not say a word");
+            }
             Thread.sleep(5);
         }
         for (int i = 0; i < members.size(); i += NEWS) {
