--- a/src/main/java/beaconladder/lab/scale/KeeperPart.java
+++ b/src/main/java/beaconladder/lab/scale/KeeperPart.java
@@ -28,8 +28,7 @@
 
     @Override
     public List<Integer> sizes(boolean small) {
-        // Beyond some 200 its door closes kept connections, and there is no line: --sizes 50,100,200,400,800.
-        return small ? List.of(10, 20, 30, 40, 60) : List.of(20, 40, 80, 120, 180);
+        return small ? List.of(10, 20, 30, 40, 60) : List.of(50, 100, 200, 400, 800);
     }
 
     @Override
