--- a/src/main/java/beaconladder/serve/Lines.java
+++ b/src/main/java/beaconladder/serve/Lines.java
@@ -10,11 +10,6 @@
 import beaconladder.serve.Ending.Reach;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -22,9 +17,6 @@
 
 /** The connections to hosts: those in use, a thread each, and those that wait for the next use. */
 final class Lines implements Errands {
-    /** What a host writes behind its answer came within a millisecond; a connection in wait costs nothing. */
-    private static final long RESTED = 3_000_000;
-
     private final Desk desk;
     private final Executor threads;
     private final Room room;
@@ -33,7 +25,7 @@
     private final boolean probeReports;
     private final boolean cancels;
     private final Opener opener;
-    private final Map<Host, Deque<Line>> idle = new HashMap<>();
+    private final IdleLines idle;
     private final Set<Call> calls = ConcurrentHashMap.newKeySet();
     private final Descriptors descriptors;
 
@@ -41,6 +33,7 @@
             Opener opener) {
         this.desk = desk;
         this.descriptors = descriptors;
+        this.idle = new IdleLines(descriptors);
         this.opener = opener;
         this.cancels = "true".equals(start.get("limits.cancel"));
         this.room = room;
@@ -119,11 +112,11 @@
         private boolean connect() {
             InetSocketAddress address = desk.address(host);
             while (address != null) {
-                Line next = takeIdle(host);
+                Line next = idle.take(host, System.nanoTime() - desk.keepIdle());
                 boolean fresh = next == null;
                 if (fresh) {
                     boolean taken = descriptors.take(Descriptors.Use.HOST)
-                            || closeOldest() && descriptors.take(Descriptors.Use.HOST)
+                            || idle.closeOldest() && descriptors.take(Descriptors.Use.HOST)
                             || descriptors.take(Descriptors.Use.HOST, until);
                     if (!taken) {
                         return false;
@@ -147,7 +140,7 @@
                 if (next.address.equals(address) && next.alive()) {
                     return true;
                 }
-                close(next);
+                idle.close(next);
             }
             return false;
         }
@@ -163,9 +156,9 @@
         private synchronized boolean finish(boolean reusable) {
             if (line != null) {
                 if (reusable && !cancelled) {
-                    giveBack(host, line);
+                    idle.giveBack(host, line);
                 } else {
-                    close(line);
+                    idle.close(line);
                 }
                 line = null;
             }
@@ -207,24 +200,13 @@
 
     @Override
     public void closeIdle(Host host) {
-        Deque<Line> all;
-        synchronized (idle) {
-            all = idle.remove(host);
-        }
-        if (all != null) {
-            all.forEach(this::close);
-        }
+        idle.close(host);
     }
 
     /** Closes what lay idle too long, and calls that hang past their time. */
     void sweep() {
         long now = System.nanoTime();
-        long oldest = now - desk.keepIdle();
-        List<Line> old = new ArrayList<>();
-        synchronized (idle) {
-            idle.values().forEach(of -> of.removeIf(line -> line.usedAt < oldest && old.add(line)));
-        }
-        old.forEach(this::close);
+        idle.sweep(now - desk.keepIdle());
         for (Call call : calls) {
             // A call ends itself by its time-outs; only one stuck in a write gets here.
             if (now - call.until > 100_000_000) {
@@ -235,56 +217,6 @@
 
     /** Closes the connection that has lain idle longest; false when none is idle. */
     boolean closeOldest() {
-        Line oldest = null;
-        synchronized (idle) {
-            Deque<Line> from = null;
-            for (Deque<Line> of : idle.values()) {
-                if (!of.isEmpty() && (oldest == null || of.peekLast().usedAt < oldest.usedAt)) {
-                    oldest = of.peekLast();
-                    from = of;
-                }
-            }
-            if (from != null) {
-                from.removeLast();
-            }
-        }
-        if (oldest != null) {
-            close(oldest);
-        }
-        return oldest != null;
-    }
-
-    /** The newest that has rested: a second copy of its last answer has shown itself by then. */
-    private Line takeIdle(Host host) {
-        long now = System.nanoTime();
-        long oldest = now - desk.keepIdle();
-        synchronized (idle) {
-            Deque<Line> of = idle.get(host);
-            for (Line line : of == null ? List.<Line>of() : of) {
-                if (line.usedAt < oldest) {
-                    break;
-                }
-                if (line.usedAt <= now - RESTED) {
-                    of.remove(line);
-                    return line;
-                }
-            }
-        }
-        return null;
-    }
-
-    private void giveBack(Host host, Line line) {
-        synchronized (idle) {
-            if (host.state == Host.State.READY) {
-                idle.computeIfAbsent(host, h -> new ArrayDeque<>()).addFirst(line);
-                return;
-            }
-        }
-        close(line);
-    }
-
-    private void close(Line line) {
-        line.release();
-        descriptors.give(Descriptors.Use.HOST, 1);
+        return idle.closeOldest();
     }
 }
--- a/src/test/java/beaconladder/lab/FeedMutantsTest.java
+++ b/src/test/java/beaconladder/lab/FeedMutantsTest.java
@@ -93,7 +93,8 @@
                     await().atMost(Duration.ofSeconds(20)).until(() -> journal.stream().anyMatch(each ->
                             each.version() == version));
                 }
-                a.close();
+                AutoCloseable ends = a;
+                ends.close();
                 Thread.sleep(2_000);
             }
         }
--- a/src/test/java/beaconladder/roster/WatchTest.java
+++ b/src/test/java/beaconladder/roster/WatchTest.java
@@ -8,16 +8,13 @@
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.awaitility.Awaitility;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestFactory;
@@ -29,19 +26,9 @@
  * over every way in which a call can fail.
  */
 @Timeout(90)
-class WatchTest {
+class WatchTest extends WatchedDiscovery {
     private static final long TOLD = 6_000;
-    private static final long GRACE = 2_000;
     private static final long SLACK = 50;
-    private final List<AutoCloseable> open = new ArrayList<>();
-
-    @AfterEach
-    void close() throws Exception {
-        for (AutoCloseable each : open) {
-            each.close();
-        }
-    }
-
     /**
      * A fault that begins while a call waits, and the draining of a host right behind it.
      *
@@ -165,93 +152,4 @@
         Thread.sleep(1_000);
         assertThat(discovery.calls.get()).isBetween(3, 25);
     }
-
-    /** A quiet watch, a broken one and one that fell silent ask for what changed; nothing is sent twice. */
-    @Test
-    void whatAWatchLostIsAskedForFromTheVersionItHas() throws Exception {
-        DiscoveryStandIn discovery = discovery();
-        discovery.waitMillis = 60_000;
-        String[] hosts = new String[40];
-        Arrays.setAll(hosts, i -> host("Ready").replace("s-1", "s-" + (i + 1)));
-        discovery.list(true, hosts);
-        List<Watch.State> heard = watch(discovery);
-        Awaitility.await().until(() -> discovery.calls.get() >= 2);
-        long first = discovery.bytes.get();
-        // Given up quietly, then asked again without a wait.
-        Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> discovery.calls.get() >= 4);
-        discovery.cutOff();
-        discovery.list(false, host("Terminating"));
-        Awaitility.await().atMost(Duration.ofSeconds(10))
-                .until(() -> heard.contains(Watch.State.DRAINING));
-        assertThat(heard).hasSize(hosts.length + 1);
-        assertThat(discovery.paths.get(0)).isEqualTo("/v1/servers");
-        assertThat(discovery.paths.subList(1, discovery.paths.size()))
-                .allMatch(path -> path.startsWith("/v1/servers?index="));
-        assertThat(discovery.bytes.get() - first).isLessThan(first / 4);
-    }
-
-    /** One that has begun anew, with fewer versions than we heard of, is heard whole. */
-    @Test
-    void aVersionThatWentBackIsAskedForWhole() throws Exception {
-        DiscoveryStandIn discovery = discovery();
-        discovery.waitMillis = 60_000;
-        discovery.list(true, host("Ready"));
-        discovery.list(false, host("Ready"));
-        discovery.list(false, host("Ready"));
-        List<Watch.State> heard = watch(discovery);
-        Awaitility.await().until(() -> discovery.calls.get() >= 2);
-        discovery.restart(host("Terminating"));
-        Awaitility.await().atMost(Duration.ofSeconds(10))
-                .until(() -> heard.contains(Watch.State.DRAINING));
-    }
-
-    /** Nonsense may have been news. */
-    @Test
-    void whatCannotBeReadIsAskedForWhole() throws Exception {
-        DiscoveryStandIn discovery = discovery();
-        discovery.list(true, host("Ready"));
-        List<Watch.State> heard = watch(discovery);
-        Awaitility.await().until(() -> discovery.calls.get() >= 2);
-        discovery.garbage = "HTTP/1.1 200 OK\r\nContent-Length: 51\r\n\r\n"
-                + "{\"version\":9,\"full\":false,\"servers\":[{\"id\":\"s-1\"}]}".substring(0, 51);
-        Awaitility.await().until(() -> discovery.paths.stream().filter("/v1/servers"::equals).count() > 1);
-        discovery.garbage = null;
-        discovery.list(false, host("Terminating"));
-        Awaitility.await().until(() -> heard.contains(Watch.State.DRAINING));
-    }
-
-    // ---- Helpers ------------------------------------------------------------------------------------------
-
-    private DiscoveryStandIn discovery() throws Exception {
-        DiscoveryStandIn discovery = new DiscoveryStandIn();
-        synchronized (open) {
-            open.add(discovery);
-        }
-        return discovery;
-    }
-
-    private List<Watch.State> watch(DiscoveryStandIn discovery) {
-        List<Watch.State> heard = new CopyOnWriteArrayList<>();
-        start(new Watch(at(discovery), GRACE, 7,
-                (whole, entries) -> entries.forEach(e -> heard.add(e.state()))));
-        return heard;
-    }
-
-    private void start(Watch watch) {
-        Thread thread = new Thread(watch);
-        thread.setDaemon(true);
-        thread.start();
-        synchronized (open) {
-            open.add(watch::stop);
-        }
-    }
-
-    private static InetSocketAddress at(DiscoveryStandIn discovery) {
-        return new InetSocketAddress("127.0.0.1", discovery.door.getLocalPort());
-    }
-
-    private static String host(String state) {
-        return "{\"id\":\"s-1\",\"addr\":\"127.0.0.1:5432\",\"zone\":\"a\",\"cell\":1,\"state\":\"" + state
-                + "\",\"started_ms\":0,\"role\":\"leader\"}";
-    }
 }
--- /dev/null
+++ b/src/test/java/beaconladder/roster/WatchedDiscovery.java
@@ -0,0 +1,54 @@
+package beaconladder.roster;
+
+import beaconladder.lab.DiscoveryStandIn;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+
+/** Watches before a stand-in for discovery. */
+abstract class WatchedDiscovery {
+    static final long GRACE = 2_000;
+    final List<AutoCloseable> open = new ArrayList<>();
+
+    @AfterEach
+    void close() throws Exception {
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+    }
+
+    DiscoveryStandIn discovery() throws Exception {
+        DiscoveryStandIn discovery = new DiscoveryStandIn();
+        synchronized (open) {
+            open.add(discovery);
+        }
+        return discovery;
+    }
+
+    List<Watch.State> watch(DiscoveryStandIn discovery) {
+        List<Watch.State> heard = new CopyOnWriteArrayList<>();
+        start(new Watch(at(discovery), GRACE, 7,
+                (whole, entries) -> entries.forEach(e -> heard.add(e.state()))));
+        return heard;
+    }
+
+    void start(Watch watch) {
+        Thread thread = new Thread(watch);
+        thread.setDaemon(true);
+        thread.start();
+        synchronized (open) {
+            open.add(watch::stop);
+        }
+    }
+
+    static InetSocketAddress at(DiscoveryStandIn discovery) {
+        return new InetSocketAddress("127.0.0.1", discovery.door.getLocalPort());
+    }
+
+    static String host(String state) {
+        return "{\"id\":\"s-1\",\"addr\":\"127.0.0.1:5432\",\"zone\":\"a\",\"cell\":1,\"state\":\"" + state
+                + "\",\"started_ms\":0,\"role\":\"leader\"}";
+    }
+}
