Feed: a router waits longer for relays after a round in which none answered in time

Seen: with the load at 252 from other work, 500 of 2,002 routers were told nothing for 36 s, all 'Read timed out', until the load fell; the other 1,500, with fewer hops to a relay, went on. Ruled out: the processes (gaps of 3.3 s at most in their journals), the relays (heard the log, served the others). At fault: the fixed slack of 0.8 s in Subscriber.poll: answers that come later are heard by nobody, and asked for again. It grows by as much after each such round, to 3.2 s, and shrinks with answers in time. FeedSubscriberTest aRelayThatIsSlowFromLoadIsHeardInTheEnd: not fulfilled in 20 s on the old code, passes now.

--- a/src/main/java/beaconladder/feed/Subscriber.java
+++ b/src/main/java/beaconladder/feed/Subscriber.java
@@ -22,6 +22,13 @@
     static final int WAIT_MILLIS = 1_000;
     /** What an answer may take beyond that; with the wait, two thirds of the 3 s that a change may take. */
     private static final int SLACK_MILLIS = 800;
+    /**
+     * After a round in which no relay answered in time, so many times that at the most: relays that are slow
+     * from load would else be asked again and again, and heard by nobody.
+     */
+    private static final int MOST_PATIENCE = 4;
+    /** So many answers in time after that, and it is a step less. */
+    private static final int ANSWERS_A_STEP = 16;
     /** A relay whose word is older asks nobody who knows: two of its own time-outs, and an election. */
     static final long STALE_MILLIS = 2_000;
     /** After no relay has answered: full jitter up to here, so that a region that heals asks evenly. */
@@ -40,6 +47,8 @@
     private long inForce;
     private long refused;
     private boolean whole;
+    private int patience = 1;
+    private int answers;
     private volatile long heard;
     private volatile boolean known;
     private volatile boolean closed;
@@ -91,6 +100,8 @@
                 poll();
             } catch (IOException | RuntimeException e) {
                 if (links.failed() && !closed) {
+                    patience = Math.min(MOST_PATIENCE, patience + 1);
+                    answers = 0;
                     fromDisk();
                     LOG.warn("{}: no relay answers ({}); version {} stays in force, {} ms old", name,
                             e, version(), ageMillis());
@@ -108,7 +119,11 @@
         String text = relay.get("/v1/feed?since=" + taking.since(held) + "&wait=" + wait + "&name=" + name
                 + "&life=" + life + "&force=" + inForce + "&refused=" + refused
                 + (links.counts() ? "&counts=1" : "") + (links.settled() ? "&patient=1" : "")
-                + (whole ? "&whole=1" : ""), wait + SLACK_MILLIS, SLACK_MILLIS);
+                + (whole ? "&whole=1" : ""), wait + patience * SLACK_MILLIS, patience * SLACK_MILLIS);
+        if (patience > 1 && ++answers == ANSWERS_A_STEP) {
+            patience--;
+            answers = 0;
+        }
         if (closed) {
             return;
         }
--- a/src/test/java/beaconladder/feed/FeedSubscriberTest.java
+++ b/src/test/java/beaconladder/feed/FeedSubscriberTest.java
@@ -4,10 +4,12 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.awaitility.Awaitility.await;
 
+import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -16,6 +18,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -195,6 +198,29 @@
         assertThat(keeps.last()).isEqualTo(one);
     }
 
+    @Test
+    void aRelayThatIsSlowFromLoadIsHeardInTheEnd() throws Exception {
+        LogStandIn log = log();
+        State one = log.set("x", "1");
+        HttpServer slow = HttpServer.create(ANY, 10);
+        slow.createContext("/v1/feed", exchange -> {
+            byte[] body = FeedText.text(log.history().since(0, true)).getBytes(StandardCharsets.UTF_8);
+            try (exchange) {
+                TimeUnit.MILLISECONDS.sleep(1_200);
+                exchange.sendResponseHeaders(200, body.length);
+                exchange.getResponseBody().write(body);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        slow.start();
+        open(() -> slow.stop(0));
+        relays.put("a", slow.getAddress());
+        Keeps keeps = new Keeps();
+        subscriber("n", 1, null, keeps);
+        await().atMost(LONG).until(() -> one.equals(keeps.last()));
+    }
+
     @Test
     void aRelayBearsSoManyConnectionsAndNoMore() throws Exception {
         Relay relay = open(new Relay("a", ANY, List.of(log().at()), null, 2));
@@ -221,7 +247,7 @@
         slow.connect(relay.at());
         byte[] poll = ("GET /v1/feed?since=0&wait=0&name=n&life=1&force=0&refused=0 HTTP/1.1\r\n"
                 + "Host: a\r\n\r\n")
-                .getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+                .getBytes(StandardCharsets.US_ASCII);
         for (int i = 0; i < 100; i++) {
             slow.getOutputStream().write(poll);
         }
