--- a/src/main/java/beaconladder/lab/scale/ListStandIn.java
+++ b/src/main/java/beaconladder/lab/scale/ListStandIn.java
@@ -23,6 +23,8 @@
     /** Of one group: a primary and two replicas. */
     static final int MEMBERS = 3;
     private static final int LONGEST_HEAD = 8 * 1024;
+    private static final int LOOK_MILLIS = 5;
+    private static final int MOST_LOOKS = 4_000;
 
     private final ServerSocket door = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
     private final IntUnaryOperator ports;
@@ -106,6 +108,13 @@
         return door.getLocalPort();
     }
 
+    /** Waits until so many entries of news were told in all, for a while at the most. */
+    void awaitNews(long entries) throws InterruptedException {
+        for (int i = 0; news.get() < entries && i < MOST_LOOKS; i++) {
+            Thread.sleep(LOOK_MILLIS);
+        }
+    }
+
     /** How long news took to be applied since this was last asked, in microseconds. */
     Histogram applied() {
         Histogram now = applied;
--- a/src/main/java/beaconladder/lab/scale/Pollers.java
+++ b/src/main/java/beaconladder/lab/scale/Pollers.java
@@ -16,6 +16,8 @@
     private static final int STACK = 160 * 1024;
     private static final int LONGEST_HEAD = 4 * 1024;
     private static final int TIMEOUT_MILLIS = 5_000;
+    private static final int LOOK_MILLIS = 20;
+    private static final int MOST_LOOKS = 1_000;
 
     private final List<Thread> threads = new ArrayList<>();
     private final ConcurrentHistogram late = new ConcurrentHistogram(3);
@@ -79,6 +81,13 @@
         }
     }
 
+    /** Waits until so many calls were answered, for a while at the most. */
+    void await(long answered) throws InterruptedException {
+        for (int i = 0; calls.get() < answered && i < MOST_LOOKS; i++) {
+            Thread.sleep(LOOK_MILLIS);
+        }
+    }
+
     /** Milliseconds by which answers came later than the wait that was asked for. */
     ConcurrentHistogram late() {
         return late;
