--- a/src/test/java/beaconladder/feed/FeedSubscriberTest.java
+++ b/src/test/java/beaconladder/feed/FeedSubscriberTest.java
@@ -17,7 +17,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -33,27 +32,6 @@
     private final List<AutoCloseable> open = new ArrayList<>();
     private final Map<String, InetSocketAddress> relays = new TreeMap<>();
 
-    /** Keeps what is put in force, and refuses what says so. */
-    private static final class Keeps implements Applier {
-        private final List<State> applied = new CopyOnWriteArrayList<>();
-
-        @Override
-        public void check(State next) throws IOException {
-            if (next.entries().containsKey("bad")) {
-                throw new IOException("a bad one");
-            }
-        }
-
-        @Override
-        public void apply(State next) {
-            applied.add(next);
-        }
-
-        State last() {
-            return applied.isEmpty() ? null : applied.get(applied.size() - 1);
-        }
-    }
-
     @AfterEach
     void end() throws Exception {
         for (AutoCloseable each : open) {
@@ -107,7 +85,7 @@
         assertThat(subscriber.version()).isEqualTo(2);
         Written four = proposer.propose(new Proposal(3, Map.of(), List.of("bad")));
         await().atMost(LONG).until(() -> keeps.last().version() == four.version());
-        assertThat(keeps.applied).extracting(State::version).endsWith(2L, 4L).doesNotContain(3L);
+        assertThat(keeps.applied()).extracting(State::version).endsWith(2L, 4L).doesNotContain(3L);
     }
 
     @Test
@@ -167,7 +145,7 @@
         await().atMost(LONG).until(() -> two.equals(keeps.last()));
         // It may have had what the old one has at its first look, and never after the newer one.
         Thread.sleep(1_500);
-        assertThat(keeps.applied).isSubsetOf(one, two).endsWith(two);
+        assertThat(keeps.applied()).isSubsetOf(one, two).endsWith(two);
     }
 
     private static long kept(Relay relay) throws IOException {
--- /dev/null
+++ b/src/test/java/beaconladder/feed/Keeps.java
@@ -0,0 +1,30 @@
+package beaconladder.feed;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** Keeps what is put in force, and refuses what says so. */
+final class Keeps implements Applier {
+    private final List<State> applied = new CopyOnWriteArrayList<>();
+
+    @Override
+    public void check(State next) throws IOException {
+        if (next.entries().containsKey("bad")) {
+            throw new IOException("a bad one");
+        }
+    }
+
+    @Override
+    public void apply(State next) {
+        applied.add(next);
+    }
+
+    State last() {
+        return applied.isEmpty() ? null : applied.get(applied.size() - 1);
+    }
+
+    List<State> applied() {
+        return applied;
+    }
+}
