--- a/src/main/java/beaconladder/lab/scale/ListPart.java
+++ b/src/main/java/beaconladder/lab/scale/ListPart.java
@@ -60,7 +60,7 @@
             Thread.sleep(small ? 3_000 : 12_000);
             long began = System.nanoTime();
             List<Used> rest = use(sites, () -> Thread.sleep(small ? 10_000 : 30_000));
-            report.slope("list.rest_bytes_s", "B/s", "hosts", TARGET, 2 * Report.COUNTED,
+            report.flat("list.rest_bytes_s", "B/s", 2 * Report.COUNTED,
                     points(sites, i -> sites.get(i).list().bytesASecond(began)));
             report.slope("list.resident_mb", "MB", "hosts", TARGET, Report.TIMED,
                     points(sites, i -> rest.get(i).end().residentKb() / 1024.0));
--- a/src/main/java/beaconladder/lab/scale/Report.java
+++ b/src/main/java/beaconladder/lab/scale/Report.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.PrintWriter;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.stream.Collectors;
@@ -90,6 +91,34 @@
         return slope;
     }
 
+    /**
+     * A value that does not grow with size: the largest size lies no further from the median of the others than
+     * this share of it, on either side. A line fitted to flat values follows whichever of them is off by chance.
+     */
+    boolean flat(String name, String unit, double allowed, List<Slope.Point> points) {
+        if (points.size() < Slope.FEWEST) {
+            throw new IllegalArgumentException("a flat value needs " + Slope.FEWEST + " sizes");
+        }
+        List<Slope.Point> bySize = points.stream().sorted(Comparator.comparingDouble(Slope.Point::size)).toList();
+        Slope.Point largest = bySize.get(bySize.size() - 1);
+        double[] others = bySize.stream().limit(bySize.size() - 1L).mapToDouble(Slope.Point::value).sorted()
+                .toArray();
+        double median = (others[(others.length - 1) / 2] + others[others.length / 2]) / 2;
+        double off = median == 0 ? Math.abs(largest.value()) : Math.abs(largest.value() / median - 1);
+        boolean holds = off <= allowed;
+        held &= holds;
+        ObjectNode node = rules.putObject(name);
+        node.put("unit", unit).put("value", rounded(off)).put("most", allowed).put("held", holds);
+        for (Slope.Point point : bySize) {
+            node.withArray("points").addArray().add(point.size()).add(rounded(point.value()));
+        }
+        String told = bySize.stream().map(p -> String.format(Locale.ROOT, "%.4g: %.4g", p.size(), p.value()))
+                .collect(Collectors.joining(", "));
+        say(String.format(Locale.ROOT, "  %s (%s): %s; the largest is %.1f%% off the others' median, at most"
+                + " %.0f%%%s", name, unit, told, 100 * off, 100 * allowed, holds ? "" : " BROKEN"));
+        return holds;
+    }
+
     /** A rule on two values of this run: their ratio is at most this. */
     void atMost(String name, double ratio, double most) {
         boolean holds = ratio <= most;
