--- a/src/main/java/beaconladder/HostRecord.java
+++ b/src/main/java/beaconladder/HostRecord.java
@@ -126,6 +126,8 @@
             // Answers come about in the order of the sends: what was abandoned before this send is done with.
             host.abandoned.removeIf(old -> old.sent < s.sent);
             if (outcome == Outcome.COMMITTED) {
+                host.newestAnswerTook = now - s.sent;
+                host.newestAnswerAt = now;
                 host.times.add(now - s.sent, s.beside, now);
                 host.group.times.add(now - s.sent, s.beside, now);
                 health.learn(s, now);
--- a/src/main/java/beaconladder/Times.java
+++ b/src/main/java/beaconladder/Times.java
@@ -11,6 +11,9 @@
 
 /** How long what is worth: when a txn is in time, is released, is given up. */
 record Times(Traffic traffic, Health health) {
+    /** An older answer tells of a load that may be gone. */
+    private static final long RECENT = 3_000 * MS;
+
     /**
      * When the SLA time ends, counted from the client's first try. First tries of a type bring one and the
      * same budget; any other budget is what is left of the type's expiry, so the difference has already gone
@@ -66,10 +69,26 @@
      * same work. Guards against overload fed by work for nothing.
      */
     long lastUse(Txn txn) {
+        if (txn.type.effect() == Effect.ONCE_ONLY) {
+            return lastSafeUse(txn);
+        }
         long end = txn.type.late() > 0.25 ? txn.expiry : txn.slaEnd;
         return Math.min(end - txn.group.times.quantile(0.4), lastMoment(txn));
     }
 
+    /**
+     * What must not run twice and runs into its time ends as one that may have run, which is worse than a
+     * refusal. So the primary's newest answer counts too, where it is recent: a host that has just become slow
+     * shows in no quantile yet. The answer has to be here by the last moment, not by the expiry.
+     */
+    private long lastSafeUse(Txn txn) {
+        Host primary = txn.group.primary;
+        boolean recent = primary != null && primary.newestAnswerAt >= txn.arrived - RECENT;
+        long answer = Math.max(recent ? primary.newestAnswerTook : 0, txn.group.times.quantile(0.4));
+        long end = txn.type.late() > 0.25 ? lastMoment(txn) : Math.min(txn.slaEnd, lastMoment(txn));
+        return end - answer;
+    }
+
     /**
      * A txn that lives by the primary, never sent, is given up at half of its time where that is long lost,
      * so that its client may try again: an outage of T so far ends within r with chance r / (T + r), and at
--- a/src/main/java/beaconladder/fleet/Host.java
+++ b/src/main/java/beaconladder/fleet/Host.java
@@ -49,6 +49,9 @@
     public final List<Submission> abandoned = new ArrayList<>();
     /** Times of recent answers, each with the submissions that were out here when it was sent. */
     public final Samples times = new Samples(16);
+    /** How long the newest committed answer took, and when it came. */
+    public long newestAnswerTook;
+    public long newestAnswerAt = Long.MIN_VALUE;
     /** Recent ends: 1 for an answer, 0 for none. */
     public final Samples ends = new Samples(16);
     /** When each of the sends that a cold host may still get was granted, oldest first. */
