--- a/src/test/java/beaconladder/serve/PartsTest.java
+++ b/src/test/java/beaconladder/serve/PartsTest.java
@@ -1,6 +1,7 @@
 package beaconladder.serve;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
 import beaconladder.api.Router.Word;
 import beaconladder.pg.Inbox;
@@ -13,6 +14,7 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.Channels;
 import java.nio.channels.ReadableByteChannel;
+import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -94,6 +96,18 @@
                 """);
     }
 
+    /** Seen: 28 s and all of the heap for the eleven characters of one number, of a client or of a spoilt answer. */
+    @Test
+    void aNumberWithALongExponentIsReadAtOnce() {
+        for (String number : new String[] {"1e5000000", "1e50000000", "1e500000000", "1e2147483640",
+            "1e-2147483640", "-1e50000000", "1" + "0".repeat(200_000), "0." + "0".repeat(200_000) + "1"}) {
+            assertTimeoutPreemptively(Duration.ofSeconds(2), () -> {
+                assertThat(Ending.nanos(number, 6)).isEqualTo(Word.NONE);
+                assertThat(Ending.report("x0=" + number + ",x1=1")).isEqualTo(Word.SILENT);
+            }, () -> number.substring(0, Math.min(20, number.length())));
+        }
+    }
+
     @Test
     void onlyTheTimeToWaitChangesInAStatementThatIsPassedOn() {
         String text = "SELECT doc FROM items WHERE id = 'it/d=1,/' "
