--- a/src/main/java/beaconladder/keep/Hosts.java
+++ b/src/main/java/beaconladder/keep/Hosts.java
@@ -2,6 +2,7 @@
 
 import beaconladder.cells.Moves.Errand;
 import beaconladder.cells.Sight;
+import beaconladder.pg.Decimal;
 import beaconladder.roster.Watch;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -126,25 +127,16 @@
                 fields.put(pair.substring(0, Math.max(0, equals)).strip(), pair.substring(equals + 1)
                         .strip());
             }
-            long copied = tenant == null ? Long.MIN_VALUE : number(line.ask(
+            long copied = tenant == null ? Long.MIN_VALUE : Decimal.read(line.ask(
                     "SELECT copied FROM beaconladder_feeds WHERE tenant = '" + tenant + "'",
                             ASK_MILLIS).cell(), 6);
-            return new Said(host, "1".equals(fields.get("x1")), number(fields.get("x0"), 9), copied);
+            return new Said(host, "1".equals(fields.get("x1")), Decimal.read(fields.get("x0"), 9), copied);
         } catch (IOException e) {
             drop(host);
             throw e;
         }
     }
 
-    private static long number(String text, int power) {
-        try {
-            return text == null || text.isEmpty() ? Long.MIN_VALUE : new java.math.BigDecimal(text)
-                    .movePointRight(power).setScale(0, java.math.RoundingMode.FLOOR).longValueExact();
-        } catch (ArithmeticException | NumberFormatException e) {
-            return Long.MIN_VALUE;
-        }
-    }
-
     private Asking line(Watch.Entry host) throws IOException {
         Asking line = lines.get(host.id());
         if (line == null) {
--- a/src/main/java/beaconladder/serve/Ending.java
+++ b/src/main/java/beaconladder/serve/Ending.java
@@ -3,6 +3,7 @@
 import beaconladder.api.Router.Outcome;
 import beaconladder.api.Router.Role;
 import beaconladder.api.Router.Word;
+import beaconladder.pg.Decimal;
 import beaconladder.pg.Outbox;
 
 /**
@@ -119,12 +120,7 @@
 
     /** A decimal number times a power of ten, rounded down and exact; NONE when it is no position. */
     static long nanos(String text, int power) {
-        try {
-            long value = new java.math.BigDecimal(text).movePointRight(power)
-                    .setScale(0, java.math.RoundingMode.FLOOR).longValueExact();
-            return value > 0 ? value : Word.NONE;
-        } catch (ArithmeticException | NumberFormatException e) {
-            return Word.NONE;
-        }
+        long value = Decimal.read(text, power);
+        return value > 0 ? value : Word.NONE;
     }
 }
--- a/src/main/java/beaconladder/serve/Lines.java
+++ b/src/main/java/beaconladder/serve/Lines.java
@@ -14,9 +14,13 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The connections to hosts: those in use, a thread each, and those that wait for the next use. */
 final class Lines implements Errands {
+    private static final Logger LOG = LoggerFactory.getLogger(Lines.class);
+
     private final Desk desk;
     private final Executor threads;
     private final Room room;
@@ -62,6 +66,8 @@
         private final long until;
         private Line line;
         private boolean cancelled;
+        /** Whether the query may have reached the host, in part or whole. */
+        private boolean begun;
 
         private Call(Host host, Submission submission, Statement statement, long until) {
             this.host = host;
@@ -81,26 +87,38 @@
                 moot = submission != null && (connected ? !desk.stands(submission)
                         : System.nanoTime() >= until);
                 if (connected && !moot) {
-                    ending = line.exchange(Outbox.query(text()), until);
-                }
-            } finally {
-                calls.remove(this);
-                boolean calledOff = finish(line != null && (moot ? line.greeted() : ending.reusable()));
-                if (submission == null) {
-                    Outcome outcome = ending.outcome();
-                    Word report = probeReports && ending.row()
-                            ? Ending.report(ending.messages().cell()) : ending.report();
-                    desk.probed(host, outcome, report);
-                } else {
-                    Outcome outcome = ending.outcome();
-                    if (moot || calledOff && outcome == Outcome.UNREACHABLE) {
-                        outcome = Outcome.MOOT;
-                    } else if (calledOff && outcome == Outcome.RESET) {
-                        outcome = Outcome.CANCELLED;
-                    }
-                    desk.ended(submission, outcome, ending.word(), ending.report(), ending.messages());
+                    Outbox query = Outbox.query(text());
+                    begun = true;
+                    ending = line.exchange(query, until);
                 }
+            } catch (RuntimeException | Error e) {
+                // Whatever it is, the txn has to have its end, and what was written may have run.
+                LOG.error("an exchange with a host ends by a fault of this program", e);
+                ending = Ending.early(begun ? Reach.WRITTEN : Reach.NOT_CONNECTED);
+            }
+            calls.remove(this);
+            boolean calledOff = finish(line != null && (moot ? line.greeted() : ending.reusable()));
+            if (submission == null) {
+                tellProbe(ending);
+            } else {
+                tellAttempt(ending, moot, calledOff);
+            }
+        }
+
+        private void tellProbe(Ending ending) {
+            Word report = probeReports && ending.row()
+                    ? Ending.report(ending.messages().cell()) : ending.report();
+            desk.probed(host, ending.outcome(), report);
+        }
+
+        private void tellAttempt(Ending ending, boolean moot, boolean calledOff) {
+            Outcome outcome = ending.outcome();
+            if (moot || calledOff && outcome == Outcome.UNREACHABLE) {
+                outcome = Outcome.MOOT;
+            } else if (calledOff && outcome == Outcome.RESET) {
+                outcome = Outcome.CANCELLED;
             }
+            desk.ended(submission, outcome, ending.word(), ending.report(), ending.messages());
         }
 
         private String text() {
