--- a/src/test/java/beaconladder/LogicTest.java
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -88,6 +88,25 @@
         assertThat(s.trace()).contains("send 100 to a").doesNotContain("send 101 to a").contains("decline 101");
     }
 
+    /** The decision was inside the memory time of 300 ms; the connection that it waited for came up behind it. */
+    @Test
+    void aRepeatDoesNotStandOnceItsMemoryTimeIsOver() {
+        Script s = Script.warm().tick(100).ask(1, REFERENCED, 0, 2000).tick(110).end(1, Outcome.ERROR).tick(150);
+        assertThat(s.trace()).containsSubsequence("send 1 to a", "error", "send 1 to a");
+        s.quiet().tick(399).stands(1).tick(400).stands(1);
+        assertThat(s.trace()).isEqualTo("399 stands 1@a true\n400 stands 1@a false\n");
+        assertThat(s.quiet().end(1, Outcome.MOOT).trace()).contains("roll back 1");
+    }
+
+    /** It was sent to a warm host, or on a ticket of the start before; what connects late meets a cold one. */
+    @Test
+    void anAttemptDoesNotStandOnceItsHostHasStartedAnew() {
+        Script s = Script.warm().tick(5_000).ask(1, ANY, 0, 2000).stands(1);
+        String host = s.trace().replaceAll("(?s).*send 1 to (.).*", "$1");
+        s.list(host, false, Host.State.READY, 5_000).stands(1);
+        assertThat(s.trace()).contains("stands 1@" + host + " true", "stands 1@" + host + " false");
+    }
+
     @Test
     void ofTwoDrawnReplicasTheLessBusyIsTaken() {
         Script s = Script.warm().ask(1, ANY, 0, 2000).ask(2, ANY, 0, 2000).ask(3, ANY, 0, 2000)
