--- a/src/main/java/beaconladder/Ends.java
+++ b/src/main/java/beaconladder/Ends.java
@@ -16,7 +16,7 @@
         return Math.min(most, 2 + (int) Math.round(3 * txn.type.value() / traffic.topValue));
     }
 
-    Verdict giveUp(Txn txn, long now) {
+    Verdict giveUp(Txn txn, Verdict.Reason reason, long now) {
         traffic.served(txn, false);
         traffic.fate(txn, false, false, now);
         Submission ran = txn.mayHaveRun();
@@ -25,9 +25,9 @@
                 || effect == Effect.REFERENCED && txn.type.scope() == TxnType.Scope.ALL) {
             long advice = traffic.says("limits.retry_after")
                     ? Math.min(traffic.micros("limits.max_retry_after_us"), txn.type.sla()) : 0;
-            return Verdict.decline(advice, List.of());
+            return Verdict.decline(advice, reason);
         }
-        return Verdict.rollBack(List.of());
+        return Verdict.rollBack(reason);
     }
 
     /** Copies that are out when the answer is there are called off. */
--- a/src/main/java/beaconladder/HostRecord.java
+++ b/src/main/java/beaconladder/HostRecord.java
@@ -80,6 +80,7 @@
                 group.lose(now);
             }
         }
+        host.stateSince = host.state == state ? host.stateSince : now;
         host.state = state;
         if (leader && group.namedByRoster != host) {
             group.namedByRoster = host;
--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -6,9 +6,11 @@
 import beaconladder.api.Router.Outcome;
 import beaconladder.api.Router.Word;
 import beaconladder.api.Router;
+import beaconladder.api.SendCheck;
 import beaconladder.api.Verdict;
 import beaconladder.fleet.Agenda;
 import beaconladder.fleet.Host;
+import beaconladder.fleet.SlowStartTicket;
 import beaconladder.fleet.Submission;
 import beaconladder.fleet.Traffic;
 import beaconladder.fleet.Txn;
@@ -46,6 +48,8 @@
     private final Ends ends;
     private final Probing probing;
     private final HostRecord record;
+    private final RepeatGuard repeats = new RepeatGuard();
+    private final SendGuard sends;
 
     public Logic(long seed, Map<String, String> start) {
         SplittableRandom chance = new SplittableRandom(seed);
@@ -60,6 +64,7 @@
         choice = new Choice(traffic, health, ramp, times, room, targets, worth, chance);
         probing = new Probing(traffic, health, targets, choice, worth, agenda, chance);
         record = new HostRecord(traffic, health, targets, agenda, idle);
+        sends = new SendGuard(repeats, targets);
     }
 
     @Override
@@ -96,28 +101,29 @@
         Verdict verdict = decide(txn, now);
         if (verdict.step() == Verdict.Step.SEND) {
             verdict.host().sentAt = now;
-            verdict.host().tickets.pollFirst();
+            boolean spent = verdict.host().tickets.pollFirst() != null;
             targets.sent(txn);
             agenda.schedule(txn, now + health.usual(verdict.host()));
+            if (ramp.cold(verdict.host(), now)) {
+                return verdict.with(spent ? SlowStartTicket.SPENT : SlowStartTicket.MISSING);
+            }
         }
         return verdict;
     }
 
     private Verdict decide(Txn txn, long now) {
         int out = txn.out();
-        Submission ran = txn.mayHaveRun();
-        // Rule 2: what may have run is repeated only where its repeat does no harm.
-        if (ran != null && txn.type.effect() == Effect.ONCE_ONLY
-                || ran != null && txn.type.effect() == Effect.REFERENCED
-                        && now - ran.sent >= txn.type.memory()) {
-            return out > 0 ? Verdict.waiting() : Verdict.rollBack(List.of());
+        if (!repeats.allows(txn, null, now)) {
+            return out > 0 ? Verdict.waiting() : Verdict.rollBack(Verdict.Reason.MAY_HAVE_RUN);
         }
         if (out > 0) {
             return copy(txn, now);
         }
-        if (txn.submissions.size() >= ends.mostSubmissions(txn) || now >= times.lastUse(txn)
-                || times.hopeless(txn, now)) {
-            return ends.giveUp(txn, now);
+        Verdict.Reason end = txn.submissions.size() >= ends.mostSubmissions(txn) ? Verdict.Reason.ATTEMPTS_USED
+                : now >= times.lastUse(txn) ? Verdict.Reason.NO_TIME
+                : times.hopeless(txn, now) ? Verdict.Reason.PRIMARY_LOST : Verdict.Reason.NONE;
+        if (end != Verdict.Reason.NONE) {
+            return ends.giveUp(txn, end, now);
         }
         txn.want = Txn.Want.NOTHING;
         Host host = choice.choose(txn, now);
@@ -150,11 +156,8 @@
     }
 
     @Override
-    public boolean stands(Submission s, long now) {
-        Host host = s.host;
-        return !s.txn.ended && now < s.txn.expiry && host.state == Host.State.READY
-                && (host == host.group.primary
-                || !s.txn.type.read().atPrimary() && host.position >= targets.target(s.txn, now));
+    public SendCheck mayGo(Submission s, long now) {
+        return sends.check(s, now);
     }
 
     /** A second less than the stated time: a host's clock of idleness runs from an earlier byte than ours. */
@@ -200,8 +203,8 @@
         }
         traffic.served(txn, false);
         traffic.fate(txn, false, false, now);
-        return ran == null || txn.type.effect() == Effect.REPEATABLE ? Verdict.decline(0, List.of())
-                : Verdict.rollBack(List.of());
+        return ran == null || txn.type.effect() == Effect.REPEATABLE ? Verdict.decline(0, Verdict.Reason.NOT_ADMITTED)
+                : Verdict.rollBack(Verdict.Reason.NOT_ADMITTED);
     }
 
     @Override
--- a/src/main/java/beaconladder/api/Rounds.java
+++ b/src/main/java/beaconladder/api/Rounds.java
@@ -13,9 +13,9 @@
 
         void cancel(Submission submission);
 
-        void decline(Txn txn, long comeBack);
+        void decline(Txn txn, long comeBack, Verdict.Reason reason);
 
-        void rollBack(Txn txn);
+        void rollBack(Txn txn, Verdict.Reason reason);
 
         /** The txn has had its final answer. */
         void ended(Txn txn);
@@ -42,17 +42,17 @@
             case SEND -> {
                 Host host = verdict.host();
                 Submission s = new Submission(txn, txn.submissions.size(), host, now,
-                        host.out.size() + host.abandoned.size() + 1);
+                        host.out.size() + host.abandoned.size() + 1, verdict.ticket());
                 txn.submissions.add(s);
                 host.out.add(s);
                 door.send(s, verdict.timeout());
             }
             case DECLINE -> {
-                door.decline(txn, verdict.comeBack());
+                door.decline(txn, verdict.comeBack(), verdict.reason());
                 end(txn);
             }
             case ROLL_BACK -> {
-                door.rollBack(txn);
+                door.rollBack(txn, verdict.reason());
                 end(txn);
             }
             case DONE -> end(txn);
--- a/src/main/java/beaconladder/api/Router.java
+++ b/src/main/java/beaconladder/api/Router.java
@@ -49,8 +49,8 @@
     /** First question: where to send this txn, now; or not yet, or never. */
     Verdict place(Txn txn, long now);
 
-    /** Whether this submission still stands: asked right before its bytes go, as connecting takes time. */
-    boolean stands(Submission submission, long now);
+    /** Whether this submission may still go: asked right before its bytes, as connecting takes time. */
+    SendCheck mayGo(Submission submission, long now);
 
     /** How long a connection to a host may have been idle and still be used. */
     long keepIdle();
--- a/src/main/java/beaconladder/api/Verdict.java
+++ b/src/main/java/beaconladder/api/Verdict.java
@@ -1,6 +1,7 @@
 package beaconladder.api;
 
 import beaconladder.fleet.Host;
+import beaconladder.fleet.SlowStartTicket;
 import beaconladder.fleet.Submission;
 import java.util.List;
 
@@ -12,31 +13,46 @@
  * @param timeout  for {@link Step#SEND}: how long this submission may take
  * @param comeBack for {@link Step#DECLINE}: how long the client should stay away; 0 says nothing
  * @param cancel   submissions to call off
+ * @param ticket   for {@link Step#SEND}: what the host's slow start asked for
+ * @param reason   for {@link Step#DECLINE} and {@link Step#ROLL_BACK}: why there is no commit
  */
-public record Verdict(Step step, Host host, long timeout, long comeBack, List<Submission> cancel) {
+public record Verdict(Step step, Host host, long timeout, long comeBack, List<Submission> cancel,
+        SlowStartTicket ticket, Reason reason) {
+
+    /** Why a request ends without a commit. */
+    public enum Reason { NONE, ATTEMPTS_USED, NO_TIME, PRIMARY_LOST, MAY_HAVE_RUN, NOT_ADMITTED }
 
     /** The steps that a txn can take. */
     public enum Step { SEND, WAIT, DECLINE, ROLL_BACK, DONE }
 
-    private static final Verdict WAITING = new Verdict(Step.WAIT, null, 0, 0, List.of());
+    private static final Verdict WAITING = end(Step.WAIT, 0, List.of(), Reason.NONE);
 
     public static Verdict send(Host host, long timeout) {
-        return new Verdict(Step.SEND, host, timeout, 0, List.of());
+        return new Verdict(Step.SEND, host, timeout, 0, List.of(), SlowStartTicket.NOT_NEEDED, Reason.NONE);
     }
 
     public static Verdict waiting() {
         return WAITING;
     }
 
-    public static Verdict decline(long comeBack, List<Submission> cancel) {
-        return new Verdict(Step.DECLINE, null, 0, comeBack, cancel);
+    /** The same send, with what its host's slow start asked for. */
+    public Verdict with(SlowStartTicket now) {
+        return new Verdict(step, host, timeout, comeBack, cancel, now, reason);
+    }
+
+    public static Verdict decline(long comeBack, Reason reason) {
+        return end(Step.DECLINE, comeBack, List.of(), reason);
     }
 
-    public static Verdict rollBack(List<Submission> cancel) {
-        return new Verdict(Step.ROLL_BACK, null, 0, 0, cancel);
+    public static Verdict rollBack(Reason reason) {
+        return end(Step.ROLL_BACK, 0, List.of(), reason);
     }
 
     public static Verdict done(List<Submission> cancel) {
-        return new Verdict(Step.DONE, null, 0, 0, cancel);
+        return end(Step.DONE, 0, cancel, Reason.NONE);
+    }
+
+    private static Verdict end(Step step, long comeBack, List<Submission> cancel, Reason reason) {
+        return new Verdict(step, null, 0, comeBack, cancel, SlowStartTicket.NOT_NEEDED, reason);
     }
 }
--- a/src/main/java/beaconladder/api/Within.java
+++ b/src/main/java/beaconladder/api/Within.java
@@ -24,8 +24,8 @@
     }
 
     @Override
-    public boolean stands(Submission submission, long now) {
-        return inner.stands(submission, now);
+    public SendCheck mayGo(Submission submission, long now) {
+        return inner.mayGo(submission, now);
     }
 
     @Override
--- a/src/main/java/beaconladder/cells/Confined.java
+++ b/src/main/java/beaconladder/cells/Confined.java
@@ -1,6 +1,7 @@
 package beaconladder.cells;
 
 import beaconladder.api.Router;
+import beaconladder.api.SendCheck;
 import beaconladder.api.Verdict;
 import beaconladder.api.Within;
 import beaconladder.fleet.Submission;
@@ -24,8 +25,8 @@
     }
 
     @Override
-    public boolean stands(Submission submission, long now) {
-        return gate.stands(submission.txn, now) && inner.stands(submission, now);
+    public SendCheck mayGo(Submission submission, long now) {
+        return gate.stands(submission.txn, now) ? inner.mayGo(submission, now) : SendCheck.NOT_ADMITTED;
     }
 
     @Override
--- a/src/main/java/beaconladder/drill/Instance.java
+++ b/src/main/java/beaconladder/drill/Instance.java
@@ -6,6 +6,7 @@
 import beaconladder.api.Router.Outcome;
 import beaconladder.api.Router.Role;
 import beaconladder.api.Router.Word;
+import beaconladder.api.Verdict;
 import beaconladder.fleet.Group;
 import beaconladder.fleet.Host;
 import beaconladder.fleet.Submission;
@@ -197,12 +198,12 @@
     }
 
     @Override
-    public void decline(Txn txn, long comeBack) {
+    public void decline(Txn txn, long comeBack, Verdict.Reason reason) {
         reply.sayNo(txn.id, comeBack / 1_000);
     }
 
     @Override
-    public void rollBack(Txn txn) {
+    public void rollBack(Txn txn, Verdict.Reason reason) {
         reply.fail(txn.id);
     }
 
--- a/src/main/java/beaconladder/fleet/Host.java
+++ b/src/main/java/beaconladder/fleet/Host.java
@@ -17,6 +17,8 @@
     public final int zone;
 
     public State state = State.READY;
+    /** When the list last gave it another state. */
+    public long stateSince = Long.MIN_VALUE;
     /** When it last started; 0 for long ago. */
     public long launched;
     /** When this router was first told of that start. */
--- a/src/main/java/beaconladder/fleet/Submission.java
+++ b/src/main/java/beaconladder/fleet/Submission.java
@@ -11,11 +11,19 @@
     /** What the host last said that it held, and when that was. */
     public final double holds;
     public final long saidAt;
+    /** When the host had last started, as far as the decision knew. */
+    public final long hostLaunched;
+    /** What the slow start of its host asked of it. */
+    public final SlowStartTicket ticket;
     public boolean ended;
     /** Whether its outcome proves that it never ran. */
     public boolean neverRan;
 
     public Submission(Txn txn, int number, Host host, long sent, int beside) {
+        this(txn, number, host, sent, beside, SlowStartTicket.NOT_NEEDED);
+    }
+
+    public Submission(Txn txn, int number, Host host, long sent, int beside, SlowStartTicket ticket) {
         this.txn = txn;
         this.number = number;
         this.host = host;
@@ -23,5 +31,7 @@
         this.beside = beside;
         this.holds = host.holds;
         this.saidAt = host.saidAt;
+        this.hostLaunched = host.launched;
+        this.ticket = ticket;
     }
 }
--- a/src/main/java/beaconladder/fleet/Txn.java
+++ b/src/main/java/beaconladder/fleet/Txn.java
@@ -39,6 +39,8 @@
     /** Whether it has drawn for a ticket at a cold primary. */
     public boolean drew;
     public boolean ended;
+    /** When its client was seen to have gone; Long.MAX_VALUE while it is there. */
+    public long leftAt = Long.MAX_VALUE;
     /** When it is to be looked at again. */
     public long look = Long.MAX_VALUE;
 
@@ -74,8 +76,13 @@
 
     /** The first submission that may have run, or null. */
     public Submission mayHaveRun() {
+        return mayHaveRunBefore(null);
+    }
+
+    /** The first submission but this one that may have run, or null. */
+    public Submission mayHaveRunBefore(Submission next) {
         for (Submission s : submissions) {
-            if (!s.neverRan) {
+            if (s != next && !s.neverRan) {
                 return s;
             }
         }
--- /dev/null
+++ b/src/main/java/beaconladder/invariants/Invariants.java
@@ -0,0 +1,121 @@
+package beaconladder.invariants;
+
+import beaconladder.fleet.Host;
+import beaconladder.fleet.SlowStartTicket;
+import beaconladder.fleet.Submission;
+import beaconladder.fleet.Txn;
+import beaconladder.fleet.TxnType;
+import beaconladder.fleet.TxnType.Effect;
+
+/** The checks of each rule, with the slack that the protocol gives; under the lock of the decisions. */
+public final class Invariants {
+    /** The protocol's slack on every time limit. */
+    private static final long SLACK = 50_000_000L;
+    /** An attempt may begin so long after its client closed. */
+    private static final long CLOSE_SLACK = 100_000_000L;
+    /** The time that is passed on may exceed what is left by so much. */
+    private static final long TIME_SLACK = 150_000_000L;
+    /** An answer later than this after its time is a lost one. */
+    private static final long LATE_ANSWER = 500_000_000L;
+    /** A restarted router is to be ready within this. */
+    private static final long READY_WITHIN = 10_000_000_000L;
+
+    private final Violations violations;
+    private final long drainGrace;
+
+    /**
+     * Checks that count here.
+     *
+     * @param drainGrace how long after its listing a draining host may still be sent to, in nanoseconds
+     */
+    public Invariants(Violations violations, long drainGrace) {
+        this.violations = violations;
+        this.drainGrace = drainGrace;
+    }
+
+    public Violations violations() {
+        return violations;
+    }
+
+    /** The bytes of an attempt have gone. */
+    public void sent(SentAttempt sent) {
+        Submission attempt = sent.attempt();
+        Txn txn = attempt.txn;
+        Host host = attempt.host;
+        if (host.state != Host.State.READY && sent.began() > host.stateSince + drainGrace + SLACK) {
+            add(Rule.SENDING, attempt, "to a host that leaves, ms after its listing: "
+                    + ms(sent.began() - host.stateSince));
+        }
+        if (txn.leftAt != Long.MAX_VALUE && sent.began() > txn.leftAt + CLOSE_SLACK) {
+            add(Rule.SENDING, attempt, "after its client had gone, ms: " + ms(sent.began() - txn.leftAt));
+        }
+        if (sent.passedTime() > txn.expiry - sent.ended() + TIME_SLACK) {
+            add(Rule.SENDING, attempt, "with more time than the client has, ms: "
+                    + ms(sent.passedTime() - (txn.expiry - sent.ended())));
+        }
+        if (attempt.ticket == SlowStartTicket.MISSING) {
+            add(Rule.STARTING, attempt, "without a ticket to a host in slow start");
+        }
+        checkRepeat(sent);
+    }
+
+    private void checkRepeat(SentAttempt sent) {
+        Txn txn = sent.attempt().txn;
+        Submission ran = txn.mayHaveRunBefore(sent.attempt());
+        if (ran == null || ran.number > sent.attempt().number) {
+            return;
+        }
+        if (txn.type.effect() == Effect.ONCE_ONLY) {
+            add(Rule.REPEATING, sent.attempt(), "of what must not run twice and may have run at "
+                    + ran.host.id);
+        } else if (txn.type.effect() == Effect.REFERENCED
+                && sent.ended() - ran.sent > txn.type.memory() + TIME_SLACK + SLACK) {
+            add(Rule.REPEATING, sent.attempt(), "behind the memory time, ms: " + ms(sent.ended() - ran.sent));
+        }
+    }
+
+    /** The client is told that this has not run and may be tried again. */
+    public void refused(Txn txn) {
+        Submission ran = txn.mayHaveRun();
+        boolean harmless = ran == null || txn.type.effect() == Effect.REPEATABLE
+                || txn.type.effect() == Effect.REFERENCED && txn.type.scope() == TxnType.Scope.ALL;
+        if (!harmless) {
+            violations.add(Rule.REPEATING, "request " + txn.number + " refused though it may have run at host "
+                    + ran.host.id);
+        }
+    }
+
+    /** A request is still in flight; whether its answer is too late, which is counted once. */
+    public boolean overdue(Txn txn, long now) {
+        if (txn.ended || now <= txn.expiry + LATE_ANSWER) {
+            return false;
+        }
+        violations.add(Rule.CLOSING, "request " + txn.number + " has no answer, ms behind its time: "
+                + ms(now - txn.expiry) + ", attempts " + txn.submissions.size() + ", out " + txn.out());
+        return true;
+    }
+
+    /** The router has closed a client's connection on which so many queries that it had read have no answer. */
+    public void closed(String cause, int unanswered) {
+        if (unanswered > 0) {
+            violations.add(Rule.CLOSING, "a connection closed as " + cause + " with queries unanswered: "
+                    + unanswered);
+        }
+    }
+
+    /** The router serves, so long after its process began. */
+    public void ready(long nanos) {
+        if (nanos > READY_WITHIN) {
+            violations.add(Rule.STARTING, "ready late, ms after the start of the process: " + ms(nanos));
+        }
+    }
+
+    private void add(Rule rule, Submission attempt, String what) {
+        violations.add(rule, "request " + attempt.txn.number + " attempt " + attempt.number + " at host "
+                + attempt.host.id + ": " + what);
+    }
+
+    private static long ms(long nanos) {
+        return nanos / 1_000_000;
+    }
+}
--- a/src/main/java/beaconladder/lab/scale/PositionsRouter.java
+++ b/src/main/java/beaconladder/lab/scale/PositionsRouter.java
@@ -5,6 +5,7 @@
 import beaconladder.api.Router;
 import beaconladder.api.Router.Outcome;
 import beaconladder.api.Router.Word;
+import beaconladder.api.Verdict;
 import beaconladder.fleet.Group;
 import beaconladder.fleet.Host;
 import beaconladder.fleet.Submission;
@@ -213,11 +214,11 @@
     }
 
     @Override
-    public void decline(Txn txn, long comeBack) {
+    public void decline(Txn txn, long comeBack, Verdict.Reason reason) {
     }
 
     @Override
-    public void rollBack(Txn txn) {
+    public void rollBack(Txn txn, Verdict.Reason reason) {
     }
 
     @Override
--- a/src/main/java/beaconladder/pg/Inbox.java
+++ b/src/main/java/beaconladder/pg/Inbox.java
@@ -206,6 +206,11 @@
         }
     }
 
+    /** How many bytes have come in beyond the current message. */
+    public int unread() {
+        return to - end;
+    }
+
     /** Whether bytes beyond the current message have come in. */
     public boolean more() {
         return to > end;
--- a/src/main/java/beaconladder/serve/Ahead.java
+++ b/src/main/java/beaconladder/serve/Ahead.java
@@ -188,6 +188,12 @@
         return work.stream().filter(each -> each.answer == null).findFirst().orElse(null);
     }
 
+    /** Queries whose answer has not begun to go out. */
+    synchronized int unanswered() {
+        int begun = writing ? 1 : 0;
+        return (int) work.stream().skip(begun).filter(each -> each.query != null).count();
+    }
+
     /** Whether an answer is owed that has not begun to go out. */
     synchronized boolean owes() {
         return work.size() > (writing ? 1 : 0);
--- /dev/null
+++ b/src/main/java/beaconladder/serve/AttemptEvents.java
@@ -0,0 +1,83 @@
+package beaconladder.serve;
+
+import beaconladder.api.Rounds;
+import beaconladder.api.Router;
+import beaconladder.api.Router.Outcome;
+import beaconladder.api.Router.Word;
+import beaconladder.api.SendCheck;
+import beaconladder.fleet.Host;
+import beaconladder.fleet.Submission;
+import beaconladder.invariants.SentAttempt;
+import beaconladder.pg.Outbox;
+import java.util.concurrent.locks.ReentrantLock;
+
+/** What exchanges with hosts ask and tell: whether an attempt may go, that it went, how it ended. */
+final class AttemptEvents {
+    private final Desk desk;
+    private final ReentrantLock lock;
+    private final Router router;
+    private final Rounds rounds;
+    private final Orders orders;
+    private final Trace trace;
+    private final Monitor monitor;
+
+    AttemptEvents(Desk desk, ReentrantLock lock, Router router, Rounds rounds, Orders orders, Trace trace,
+            Monitor monitor) {
+        this.desk = desk;
+        this.lock = lock;
+        this.router = router;
+        this.rounds = rounds;
+        this.orders = orders;
+        this.trace = trace;
+        this.monitor = monitor;
+    }
+
+    /** Whether this attempt may still go; asked right before its bytes. */
+    boolean mayGo(Submission attempt) {
+        lock.lock();
+        try {
+            SendCheck check = router.mayGo(attempt, desk.now());
+            if (!check.allowed()) {
+                monitor.counters().add("held_back", check);
+                trace.heldBack(attempt, check, desk.now());
+            }
+            return check.allowed();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** The bytes of this attempt have gone, since this moment, with so many milliseconds to wait. */
+    void sent(Submission attempt, long began, long passedMillis) {
+        lock.lock();
+        try {
+            monitor.invariants().sent(new SentAttempt(attempt, began, desk.now(), passedMillis * 1_000_000));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    void ended(Submission attempt, Outcome outcome, Word answer, Word report, Outbox messages) {
+        desk.tell(now -> {
+            if (attempt.ended) {
+                return;
+            }
+            trace.ended(attempt, outcome, now);
+            monitor.counters().add(attempt.number == 0 ? "first_attempt" : "retry", outcome);
+            boolean settled = attempt.txn.ended || outcome == Outcome.COMMITTED;
+            Hand hand = orders.of(attempt.txn);
+            rounds.act(attempt.txn, router.after(attempt, outcome, settled, answer, report, now), now);
+            if (hand != null && outcome == Outcome.COMMITTED) {
+                hand.tell(new Hand.Order(Hand.Kind.COMMITTED, attempt, 0, messages));
+            }
+        });
+    }
+
+    void probed(Host host, Outcome outcome, Word report) {
+        desk.tell(now -> {
+            trace.probed(host, outcome, host.probeSent, now);
+            monitor.counters().add("probe", outcome);
+            router.probed(host, outcome, report, now);
+        });
+    }
+}
--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -9,10 +9,9 @@
 /** A client's connection as its reader sees it: messages come in, it is told to go, it leaves. */
 final class Client {
     private static final Logger LOG = LoggerFactory.getLogger(Client.class);
-    /** A startup message is due so long after the connection, the rest of a message after its first byte. */
+    /** A startup message is due so long after the connection, and the rest of a message after its first byte. */
     private static final long OPENING = 2_000_000_000L;
-    private static final long WHOLE = 2_000_000_000L;
-    /** So much of what a client still sends is read after its end was told, so that it sees the message. */
+    /** So much is read of a client after its end was told, so that it sees the message. */
     private static final int WASTE = 64 * 1024;
     /** So much is read of a client with too many queries ahead: its end stands behind it. Some hundred. */
     private static final int BEHIND = 128 * 1024;
@@ -116,7 +115,7 @@
                 in.drop();
                 wasted += Math.max(0, n);
                 if (n < 0) {
-                    leave();
+                    leave(CloseCause.TOLD_TO_GO);
                 }
             } else if (n >= 0) {
                 reader.pump();
@@ -124,14 +123,14 @@
                 reader.sendAway("a message that is cut off");
             } else {
                 // With a txn in hand, too: a half-close can't be told from having gone.
-                leave();
+                leave(CloseCause.CLIENT_CLOSED);
             }
         } catch (IOException e) {
             LOG.debug("a client's connection broke: {}", e.toString());
-            leave();
+            leave(CloseCause.CLIENT_BROKEN);
         } catch (RuntimeException | Error e) {
             LOG.error("a client's connection ends", e);
-            leave();
+            leave(CloseCause.FAULT);
         }
         return wire.isOpen();
     }
@@ -162,14 +161,21 @@
         try {
             reader.pump();
         } catch (IOException e) {
-            leave();
+            leave(CloseCause.CLIENT_BROKEN);
         }
         return wire.isOpen();
     }
 
-    void leave() {
-        task.left();
+    void leave(CloseCause cause) {
+        // Before anything else: what a client writes from here on stays unread, and it is told so by a reset.
         close();
+        int unanswered = ahead.unanswered();
+        desk.monitor().counters().add("closed", cause);
+        Trace.closed(key, cause, unanswered, in.unread());
+        if (!cause.byClient()) {
+            desk.monitor().invariants().closed(cause.name(), unanswered);
+        }
+        task.left();
         clients.gone(this);
         in.release();
     }
@@ -186,7 +192,7 @@
     boolean sweep(long now) {
         long ended = endedAt;
         if (!wire.isOpen() || ended != 0 && now - ended > LINGER && !ahead.busy()) {
-            leave();
+            leave(ended != 0 ? CloseCause.TOLD_TO_GO : CloseCause.CLIENT_BROKEN);
             return false;
         }
         if (lastLook && ended == 0 && ahead.owes() && !readable()) {
@@ -195,11 +201,11 @@
         try {
             if (ended == 0 && !reader.greeted() && now - usedAt > OPENING) {
                 reader.greet(Greeting.fatal("08P01", "no startup message in time"));
-            } else if (ended == 0 && in.begunAt() != 0 && now - in.begunAt() > WHOLE) {
+            } else if (ended == 0 && in.begunAt() != 0 && now - in.begunAt() > OPENING) {
                 reader.sendAway("a message whose rest did not come in time");
             }
         } catch (IOException e) {
-            leave();
+            leave(CloseCause.CLIENT_BROKEN);
         }
         return wire.isOpen();
     }
@@ -212,9 +218,8 @@
         if (endedAt != 0 || !lastLook && !readable() || usedAt >= since || !idle(since)) {
             return false;
         }
-        // Closed, not half-closed: a query that crosses this is answered by a reset, so it is known not to
-        // have been read. The last look comes right before the close: on a part of a core this thread may
-        // stand still between any two steps, and what came meanwhile would be ended with no answer.
+        // Closed, not half-closed: a query that crosses this is answered by a reset, so it is known not to have been
+        // read. The last look comes right before the close, as this thread may stand still between any two steps.
         try {
             if (!lastLook && in.feed(wire) > 0) {
                 cameAt = desk.now();
@@ -224,16 +229,15 @@
         } catch (IOException e) {
             LOG.debug("a client's connection broke: {}", e.toString());
         }
-        close();
-        leave();
+        leave(lastLook || clients.draining() != null ? CloseCause.DRAINED : CloseCause.IDLE);
         return true;
     }
 
     /**
-     * The router ends: this connection is looked at for the last time, and closed now or after the answers to
-     * what has come in by then. Without a last look a client that writes on and on would keep it open until
-     * the process is killed, with a txn in hand. While the last answers are due the sweep still reads what
-     * comes, for the client's end may stand behind it, and declines it; what crosses the last is unread.
+     * The router ends: this connection is looked at for the last time, and closed now or after the answers to what has
+     * come in by then; else a client that writes on and on would keep it open until the kill. While the last answers
+     * are due the sweep still reads what comes, for the client's end may stand behind it, and declines it; what
+     * crosses the last is unread.
      */
     void lastLook() {
         closeIfIdle(Long.MAX_VALUE);
@@ -242,7 +246,6 @@
     }
 
     private boolean idle(long since) {
-        long begun = in.begunAt();
-        return ahead.idle() && endedAt == 0 && (begun == 0 || !known && begun < since);
+        return ahead.idle() && endedAt == 0 && (in.begunAt() == 0 || !known && in.begunAt() < since);
     }
 }
--- a/src/main/java/beaconladder/serve/ClientReader.java
+++ b/src/main/java/beaconladder/serve/ClientReader.java
@@ -63,7 +63,7 @@
     void greet(Greeting greeting) throws IOException {
         if (greeting.kind() == Greeting.Kind.CANCEL) {
             clients.crowd().cancel(greeting.key());
-            client.leave();
+            client.leave(CloseCause.CANCEL_REQUEST);
             return;
         }
         greeted = greeting.kind() == Greeting.Kind.GREETED;
@@ -86,12 +86,13 @@
                     return;
                 } else if (client.tooLate()) {
                     // It came after the last look: declined in its turn, and sent nowhere.
+                    refused(DoorRefusal.DRAINING);
                     add(new Ahead.Work(Asked.error("57P03", "this router ends; it has not run"), false));
                 } else {
                     add(new Ahead.Work(in.onlyText(), client.cameAt()));
                 }
             }
-            case 'X' -> client.leave();
+            case 'X' -> client.leave(CloseCause.CLIENT_TERMINATED);
             case 'P', 'B', 'D', 'E', 'C', 'F', 'H', 'd', 'c', 'f' -> {
                 if (!skipping) {
                     skipping = true;
@@ -107,6 +108,11 @@
         }
     }
 
+    private void refused(DoorRefusal why) {
+        desk.monitor().counters().add("door", why);
+        Trace.door("refused: " + why);
+    }
+
     void sendAway(String cause) throws IOException {
         add(new Ahead.Work(new Outbox().error("FATAL", "08P01", cause, null), true));
         client.told();
@@ -117,7 +123,7 @@
             case START_TASK -> {
                 if (!clients.execute(task) && ahead.abandon(next)) {
                     // No thread is left to see a txn through: it is declined before it is taken in hand.
-                    Trace.door("declined: no thread");
+                    refused(DoorRefusal.NO_THREAD);
                     sendNow(Asked.error("53300", "declined, as too many txns are in hand; it has not run"));
                 }
             }
--- a/src/main/java/beaconladder/serve/ClientTask.java
+++ b/src/main/java/beaconladder/serve/ClientTask.java
@@ -121,6 +121,7 @@
         long expiry = drain == null ? arrived + budget : drain.expiry(arrived, budget,
                 desk.writes(asked.type()) || asked.statement().writes());
         if (expiry <= desk.now()) {
+            refused(DoorRefusal.NO_TIME);
             return new Reply(Asked.error("57P03", "no time is left for it here; it has not run"), false);
         }
         Group group = asked.group();
@@ -131,6 +132,7 @@
             pass = leave.pass();
             group = pass == null ? null : desk.group(pass.group());
             if (pass == null) {
+                refused(DoorRefusal.NOT_ADMITTED);
                 return new Reply(work.cancelled() ? CANCELLED.get() : leave.told(), leave.last());
             } else if (group == null) {
                 desk.cells().leave(pass);
@@ -143,6 +145,7 @@
             if (pass != null) {
                 desk.cells().leave(pass);
             }
+            refused(DoorRefusal.DUPLICATE_ID);
             return new Reply(Asked.error("22023", "the id of a txn that is in hand"), false);
         }
         work.hand(taken);
@@ -157,6 +160,11 @@
         }
     }
 
+    private void refused(DoorRefusal why) {
+        desk.monitor().counters().add("door", why);
+        Trace.door("refused: " + why);
+    }
+
     /** The client wants no answer any more to what is in hand; what was written ahead behind it stays. */
     void cancel() {
         Ahead.Work current = ahead.current();
--- a/src/main/java/beaconladder/serve/Clients.java
+++ b/src/main/java/beaconladder/serve/Clients.java
@@ -168,7 +168,7 @@
             channel.register(selector, SelectionKey.OP_READ, client);
         } catch (IOException e) {
             LOG.debug("a client's connection broke: {}", e.toString());
-            client.leave();
+            client.leave(CloseCause.CLIENT_BROKEN);
         }
     }
 
--- a/src/main/java/beaconladder/serve/Desk.java
+++ b/src/main/java/beaconladder/serve/Desk.java
@@ -3,17 +3,13 @@
 import beaconladder.Logic;
 import beaconladder.api.Rounds;
 import beaconladder.api.Router;
-import beaconladder.api.Router.Outcome;
-import beaconladder.api.Router.Word;
 import beaconladder.cells.Confined;
 import beaconladder.cells.Gate;
 import beaconladder.cells.Pass;
 import beaconladder.fleet.Group;
 import beaconladder.fleet.Host;
-import beaconladder.fleet.Submission;
 import beaconladder.fleet.Txn;
 import beaconladder.fleet.TxnType;
-import beaconladder.pg.Outbox;
 import beaconladder.pg.Statement;
 import beaconladder.roster.Watch;
 import java.net.InetSocketAddress;
@@ -39,6 +35,8 @@
     private final Gate gate;
     private final CellDesk cells;
     private final Orders orders;
+    private final Monitor monitor;
+    private final AttemptEvents attempts;
     private final Set<String> ids = new HashSet<>();
     private final HostList list;
     private final Places places;
@@ -49,12 +47,14 @@
 
     Desk(long seed, Map<String, String> start, Gate gate) {
         this.gate = gate;
+        monitor = new Monitor(Long.parseLong(start.getOrDefault("rules.drain_grace_us", "2000000")) * 1_000);
         router = gate == null ? new Logic(seed, start) : new Confined(new Logic(seed, start), gate);
-        orders = new Orders(this, gate, trace);
+        orders = new Orders(this, gate, trace, monitor);
         rounds = new Rounds(router, orders);
         list = new HostList(router, trace, start.getOrDefault("zones", ""));
         cells = gate == null ? null : new CellDesk(this, gate, lock);
         places = new Places(start);
+        attempts = new AttemptEvents(this, lock, router, rounds, orders, trace, monitor);
         trace.settings(start);
     }
 
@@ -72,6 +72,15 @@
         return moment - anchor;
     }
 
+    Monitor monitor() {
+        return monitor;
+    }
+
+    /** For exchanges with hosts. */
+    AttemptEvents attempts() {
+        return attempts;
+    }
+
     Places places() {
         return places;
     }
@@ -161,34 +170,10 @@
         }
     }
 
-    /** Whether this submission may still go; asked right before its bytes. */
-    boolean stands(Submission s) {
-        lock.lock();
-        try {
-            return router.stands(s, now());
-        } finally {
-            lock.unlock();
-        }
-    }
-
-    void ended(Submission s, Outcome outcome, Word answer, Word report, Outbox messages) {
-        tell(now -> {
-            if (s.ended) {
-                return;
-            }
-            trace.ended(s, outcome, now);
-            boolean settled = s.txn.ended || outcome == Outcome.COMMITTED;
-            Hand hand = orders.of(s.txn);
-            rounds.act(s.txn, router.after(s, outcome, settled, answer, report, now), now);
-            if (hand != null && outcome == Outcome.COMMITTED) {
-                hand.tell(new Hand.Order(Hand.Kind.COMMITTED, s, 0, messages));
-            }
-        });
-    }
-
     /** The client of this txn has left. */
     void left(Hand hand) {
         tell(now -> {
+            hand.txn.leftAt = Math.min(hand.txn.leftAt, now);
             if (!hand.txn.ended) {
                 trace.finished(hand.txn, "left", now);
                 rounds.act(hand.txn, router.left(hand.txn, now), now);
@@ -197,13 +182,6 @@
         });
     }
 
-    void probed(Host host, Outcome outcome, Word report) {
-        tell(now -> {
-            trace.probed(host, outcome, host.probeSent, now);
-            router.probed(host, outcome, report, now);
-        });
-    }
-
     @Override
     public void listed(boolean whole, List<Watch.Entry> entries) {
         List<Host> moved = new ArrayList<>();
@@ -218,6 +196,7 @@
         lock.lock();
         try {
             list.sweep(now());
+            orders.checkOverdue(now());
         } finally {
             lock.unlock();
         }
--- a/src/main/java/beaconladder/serve/Line.java
+++ b/src/main/java/beaconladder/serve/Line.java
@@ -106,13 +106,18 @@
         }
     }
 
-    /** Sends a query and waits for all of its answer, until this nanoTime. */
-    Ending exchange(Outbox query, long until) {
+    /** Sends a query; false where its last byte did not go. */
+    boolean send(Outbox query) {
         try {
             write(query);
+            return true;
         } catch (IOException e) {
-            return Ending.early(Reach.PART_WRITTEN);
+            return false;
         }
+    }
+
+    /** Waits for all of the answer, until this nanoTime. */
+    Ending receive(long until) {
         Ending ending = answer(until);
         usedAt = System.nanoTime();
         return ending;
--- a/src/main/java/beaconladder/serve/Lines.java
+++ b/src/main/java/beaconladder/serve/Lines.java
@@ -84,12 +84,10 @@
             try {
                 boolean connected = connect();
                 // Where its own time ran out on the way, nothing speaks against the host.
-                moot = submission != null && (connected ? !desk.stands(submission)
+                moot = submission != null && (connected ? !desk.attempts().mayGo(submission)
                         : System.nanoTime() >= until);
                 if (connected && !moot) {
-                    Outbox query = Outbox.query(text());
-                    begun = true;
-                    ending = line.exchange(query, until);
+                    ending = exchange();
                 }
             } catch (RuntimeException | Error e) {
                 // Whatever it is, the txn has to have its end, and what was written may have run.
@@ -108,7 +106,7 @@
         private void tellProbe(Ending ending) {
             Word report = probeReports && ending.row()
                     ? Ending.report(ending.messages().cell()) : ending.report();
-            desk.probed(host, ending.outcome(), report);
+            desk.attempts().probed(host, ending.outcome(), report);
         }
 
         private void tellAttempt(Ending ending, boolean moot, boolean calledOff) {
@@ -118,12 +116,24 @@
             } else if (calledOff && outcome == Outcome.RESET) {
                 outcome = Outcome.CANCELLED;
             }
-            desk.ended(submission, outcome, ending.word(), ending.report(), ending.messages());
+            desk.attempts().ended(submission, outcome, ending.word(), ending.report(),
+                    ending.messages());
         }
 
-        private String text() {
-            return submission == null ? probeQuery
-                    : statement.waiting(Math.max(1, (until - System.nanoTime()) / 1_000_000));
+        private Ending exchange() {
+            if (submission == null) {
+                begun = true;
+                return line.send(Outbox.query(probeQuery)) ? line.receive(until) : Ending.early(Reach.PART_WRITTEN);
+            }
+            long began = desk.now();
+            long millis = Math.max(1, (until - System.nanoTime()) / 1_000_000);
+            Outbox query = Outbox.query(statement.waiting(millis));
+            begun = true;
+            if (!line.send(query)) {
+                return Ending.early(Reach.PART_WRITTEN);
+            }
+            desk.attempts().sent(submission, began, millis);
+            return line.receive(until);
         }
 
         /** Gets an idle connection that still stands, or makes one; false when there is none in time. */
--- a/src/main/java/beaconladder/serve/Orders.java
+++ b/src/main/java/beaconladder/serve/Orders.java
@@ -1,14 +1,17 @@
 package beaconladder.serve;
 
 import beaconladder.api.Rounds;
+import beaconladder.api.Verdict;
 import beaconladder.cells.Gate;
 import beaconladder.fleet.Host;
 import beaconladder.fleet.Submission;
 import beaconladder.fleet.Txn;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /** What the rounds ask for, under the desk's lock: told to the txns' tasks, or kept until it is free. */
@@ -16,12 +19,16 @@
     private final Desk desk;
     private final Gate gate;
     private final Trace trace;
+    private final Monitor monitor;
+    /** Those whose missing answer was counted. */
+    private final Set<Txn> overdue = new HashSet<>();
     /** The txns in hand. */
     private final Map<Txn, Hand> hands = new HashMap<>();
     /** What is to be done on sockets once the lock is free. */
     private final List<Consumer<Errands>> errands = new ArrayList<>();
 
-    Orders(Desk desk, Gate gate, Trace trace) {
+    Orders(Desk desk, Gate gate, Trace trace, Monitor monitor) {
+        this.monitor = monitor;
         this.desk = desk;
         this.gate = gate;
         this.trace = trace;
@@ -40,6 +47,15 @@
         return hands.size();
     }
 
+    /** Counts those whose time has gone by without an answer. */
+    void checkOverdue(long now) {
+        for (Txn txn : hands.keySet()) {
+            if (!overdue.contains(txn) && monitor.invariants().overdue(txn, now)) {
+                overdue.add(txn);
+            }
+        }
+    }
+
     /** Hands over what is to be done on sockets. */
     List<Consumer<Errands>> errands() {
         if (errands.isEmpty()) {
@@ -66,14 +82,17 @@
     }
 
     @Override
-    public void decline(Txn txn, long comeBack) {
-        trace.finished(txn, "decline", desk.now());
+    public void decline(Txn txn, long comeBack, Verdict.Reason reason) {
+        trace.finished(txn, "decline " + reason, desk.now());
+        monitor.counters().add("refused", reason);
+        monitor.invariants().refused(txn);
         hands.get(txn).tell(new Hand.Order(Hand.Kind.DECLINED, null, comeBack, null));
     }
 
     @Override
-    public void rollBack(Txn txn) {
-        trace.finished(txn, "rollback", desk.now());
+    public void rollBack(Txn txn, Verdict.Reason reason) {
+        trace.finished(txn, "rollback " + reason, desk.now());
+        monitor.counters().add("rolled_back", reason);
         hands.get(txn).tell(new Hand.Order(Hand.Kind.ROLLED_BACK, null, 0, null));
     }
 
@@ -82,6 +101,7 @@
         trace.finished(txn, "over", desk.now());
         trace.gone(txn);
         hands.remove(txn);
+        overdue.remove(txn);
         if (gate != null) {
             gate.ended(txn);
         }
--- a/src/main/java/beaconladder/serve/Serve.java
+++ b/src/main/java/beaconladder/serve/Serve.java
@@ -39,6 +39,8 @@
     private final Placements placements;
     /** The longest that a txn can be in hand. */
     private final long longest;
+    /** Shortly after its process began: the virtual machine takes some tenths of a second before. */
+    private final long madeAt = System.nanoTime();
     private volatile boolean stopped;
     /** Whether clients may have come, and whether the end has been asked for; what both wait for is this. */
     private boolean listens;
@@ -114,6 +116,7 @@
                 clients.listen(stated.listen());
                 threads.make(clients).start();
                 listens = true;
+                desk.monitor().invariants().ready(System.nanoTime() - madeAt);
                 LOG.info("{} serves at {}", stated.name(), stated.listen());
             }
         }
@@ -163,6 +166,7 @@
                 Thread.sleep(SWEEP_MILLIS);
                 lines.sweep();
                 desk.sweep();
+                desk.monitor().sweep();
             } catch (InterruptedException e) {
                 return;
             } catch (RuntimeException | Error e) {
@@ -194,6 +198,7 @@
             placements.stop();
         }
         desk.stop();
+        desk.monitor().tell();
         LOG.info("drained");
     }
 }
--- a/src/main/java/beaconladder/serve/Trace.java
+++ b/src/main/java/beaconladder/serve/Trace.java
@@ -1,6 +1,7 @@
 package beaconladder.serve;
 
 import beaconladder.api.Router.Outcome;
+import beaconladder.api.SendCheck;
 import beaconladder.fleet.Host;
 import beaconladder.fleet.Submission;
 import beaconladder.fleet.Txn;
@@ -75,6 +76,21 @@
         }
     }
 
+    void heldBack(Submission s, SendCheck check, long now) {
+        if (on) {
+            add("held back " + id(s.txn) + " n=" + s.number + " host=" + name(s.host) + " " + check + " after="
+                    + ms(now - s.sent));
+        }
+    }
+
+    /** A client's connection has ended. */
+    static void closed(long key, CloseCause cause, int unanswered, int unread) {
+        if (LOG.isDebugEnabled()) {
+            LOG.debug("close client={} cause={} unanswered={} unread_bytes={}", Long.toHexString(key), cause,
+                    unanswered, unread);
+        }
+    }
+
     void finished(Txn txn, String how, long now) {
         if (on) {
             add(how + " " + id(txn) + " at=" + ms(now - txn.arrived) + " left=" + ms(txn.expiry - now)
--- a/src/test/java/beaconladder/ColdFleet.java
+++ b/src/test/java/beaconladder/ColdFleet.java
@@ -4,6 +4,7 @@
 import beaconladder.api.Router.Outcome;
 import beaconladder.api.Router.Role;
 import beaconladder.api.Router.Word;
+import beaconladder.api.Verdict;
 import beaconladder.fleet.Group;
 import beaconladder.fleet.Host;
 import beaconladder.fleet.Submission;
@@ -232,11 +233,11 @@
         }
 
         @Override
-        public void decline(Txn txn, long comeBack) {
+        public void decline(Txn txn, long comeBack, Verdict.Reason reason) {
         }
 
         @Override
-        public void rollBack(Txn txn) {
+        public void rollBack(Txn txn, Verdict.Reason reason) {
         }
 
         @Override
--- a/src/test/java/beaconladder/RandomEvents.java
+++ b/src/test/java/beaconladder/RandomEvents.java
@@ -6,6 +6,7 @@
 import beaconladder.api.Router.Outcome;
 import beaconladder.api.Router.Role;
 import beaconladder.api.Router.Word;
+import beaconladder.api.Verdict;
 import beaconladder.api.Within;
 import beaconladder.fleet.Group;
 import beaconladder.fleet.Host;
@@ -169,12 +170,12 @@
     }
 
     @Override
-    public void decline(Txn txn, long comeBack) {
+    public void decline(Txn txn, long comeBack, Verdict.Reason reason) {
         say("decline " + txn.number + " " + comeBack);
     }
 
     @Override
-    public void rollBack(Txn txn) {
+    public void rollBack(Txn txn, Verdict.Reason reason) {
         say("roll back " + txn.number);
     }
 
--- a/src/test/java/beaconladder/Script.java
+++ b/src/test/java/beaconladder/Script.java
@@ -177,7 +177,7 @@
     /** The newest submission of this txn has its connection: whether it still stands. */
     Script stands(int id) {
         Submission s = txns.get(id).submissions.get(txns.get(id).submissions.size() - 1);
-        say("stands " + id + "@" + (char) s.host.id + " " + logic.stands(s, now));
+        say("stands " + id + "@" + (char) s.host.id + " " + logic.mayGo(s, now).allowed());
         return this;
     }
 
--- /dev/null
+++ b/src/test/java/beaconladder/invariants/InvariantsTest.java
@@ -0,0 +1,124 @@
+package beaconladder.invariants;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beaconladder.fleet.Group;
+import beaconladder.fleet.Host;
+import beaconladder.fleet.SlowStartTicket;
+import beaconladder.fleet.Submission;
+import beaconladder.fleet.Txn;
+import beaconladder.fleet.TxnType;
+import java.util.HashMap;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Each check sees the fault that it is for, and nothing in what the protocol allows. */
+class InvariantsTest {
+    private static final long MS = 1_000_000L;
+    private static final long SECOND = 1_000 * MS;
+
+    private final Violations violations = new Violations();
+    private final Invariants invariants = new Invariants(violations, SECOND);
+    private final Group group = new Group(1);
+    private final Host host = new Host(1, group, 0);
+
+    private Txn txn(String effect) {
+        Map<String, String> start = new HashMap<>(Map.of("request_classes.count", "1",
+                "request_classes.0.effect", effect, "request_classes.0.key_ttl_us", "300000"));
+        return new Txn(1, TxnType.read(start).get(0), group, 1, Long.MIN_VALUE, 0, false, 0, SECOND, 1);
+    }
+
+    private Submission attempt(Txn txn, long decided, SlowStartTicket ticket) {
+        Submission attempt = new Submission(txn, txn.submissions.size(), host, decided, 1, ticket);
+        txn.submissions.add(attempt);
+        return attempt;
+    }
+
+    private Submission attempt(Txn txn, long decided) {
+        return attempt(txn, decided, SlowStartTicket.NOT_NEEDED);
+    }
+
+    private long sent(Rule rule, Submission attempt, long began, long passed) {
+        invariants.sent(new SentAttempt(attempt, began, began + MS, passed));
+        assertThat(violations.total()).as("other rules").isEqualTo(violations.count(rule));
+        return violations.count(rule);
+    }
+
+    @Test
+    void aSendWithinTheRulesCountsNothing() {
+        assertThat(sent(Rule.SENDING, attempt(txn("side_effect"), 0), 10 * MS, 980 * MS)).isZero();
+    }
+
+    @Test
+    void aSendToAHostThatHasLeftLongerThanTheGrace() {
+        host.state = Host.State.DRAINING;
+        host.stateSince = 0;
+        Txn txn = txn("pure");
+        assertThat(sent(Rule.SENDING, attempt(txn, 0), SECOND, MS)).isZero();
+        assertThat(sent(Rule.SENDING, attempt(txn, 0), SECOND + 51 * MS, MS)).isEqualTo(1);
+    }
+
+    @Test
+    void aSendAfterTheClientHadGone() {
+        Txn txn = txn("pure");
+        txn.leftAt = 100 * MS;
+        assertThat(sent(Rule.SENDING, attempt(txn, 0), 200 * MS, MS)).isZero();
+        assertThat(sent(Rule.SENDING, attempt(txn, 0), 201 * MS, MS)).isEqualTo(1);
+    }
+
+    @Test
+    void moreTimePassedOnThanIsLeft() {
+        assertThat(sent(Rule.SENDING, attempt(txn("pure"), 0), 500 * MS, 649 * MS)).isZero();
+        assertThat(sent(Rule.SENDING, attempt(txn("pure"), 0), 500 * MS, 651 * MS)).isEqualTo(1);
+    }
+
+    @Test
+    void aHostInSlowStartWithoutATicket() {
+        assertThat(sent(Rule.STARTING, attempt(txn("pure"), 0, SlowStartTicket.SPENT), 0, MS)).isZero();
+        assertThat(sent(Rule.STARTING, attempt(txn("pure"), 0, SlowStartTicket.MISSING), 0, MS)).isEqualTo(1);
+    }
+
+    @Test
+    void aRepeatOfWhatMayHaveRun() {
+        Txn once = txn("side_effect");
+        Submission first = attempt(once, 0);
+        first.neverRan = true;
+        assertThat(sent(Rule.REPEATING, attempt(once, MS), MS, MS)).isZero();
+        first.neverRan = false;
+        assertThat(sent(Rule.REPEATING, attempt(once, MS), MS, MS)).isEqualTo(1);
+    }
+
+    @Test
+    void aRepeatBehindTheMemoryTime() {
+        Txn referenced = txn("token");
+        attempt(referenced, 0);
+        assertThat(sent(Rule.REPEATING, attempt(referenced, 250 * MS), 299 * MS, MS)).isZero();
+        assertThat(sent(Rule.REPEATING, attempt(referenced, 250 * MS), 501 * MS, MS)).isEqualTo(1);
+    }
+
+    @Test
+    void aRefusalOfWhatMayHaveRun() {
+        Txn once = txn("side_effect");
+        invariants.refused(once);
+        attempt(once, 0);
+        Txn pure = txn("pure");
+        attempt(pure, 0);
+        invariants.refused(pure);
+        assertThat(violations.total()).isZero();
+        invariants.refused(once);
+        assertThat(violations.count(Rule.REPEATING)).isEqualTo(1);
+    }
+
+    @Test
+    void anAnswerThatIsMissingAndAQueryThatIsClosedUnanswered() {
+        Txn txn = txn("pure");
+        assertThat(invariants.overdue(txn, SECOND + 500 * MS)).isFalse();
+        assertThat(invariants.overdue(txn, SECOND + 501 * MS)).isTrue();
+        invariants.closed("IDLE", 0);
+        invariants.closed("IDLE", 2);
+        assertThat(violations.count(Rule.CLOSING)).isEqualTo(2);
+        invariants.ready(10 * SECOND);
+        invariants.ready(11 * SECOND);
+        assertThat(violations.toString()).isEqualTo("sending=0 repeating=0 closing=2 starting=1");
+    }
+}
