--- a/src/main/java/beaconladder/app/LabCommand.java
+++ b/src/main/java/beaconladder/app/LabCommand.java
@@ -26,7 +26,8 @@
 /** The laboratory: rehearsals between stand-ins, on loopback. */
 @Command(name = "lab", mixinStandardHelpOptions = true,
         description = "Rehearse between stand-ins on loopback, judged by what clients and hosts saw.",
-        subcommands = {LabFeedCommand.class, LabFeedCommand.Routers.class, ScaleCommand.class},
+        subcommands = {LabFeedCommand.class, LabFeedCommand.Routers.class, LabSoakCommand.class,
+                ScaleCommand.class},
         exitCodeList = {"0:every rule held", "1:one was broken", "2:the call is wrong"},
         exitCodeListHeading = "Exit codes:%n")
 final class LabCommand implements Runnable {
--- a/src/main/java/beaconladder/invariants/Violations.java
+++ b/src/main/java/beaconladder/invariants/Violations.java
@@ -11,12 +11,28 @@
 public final class Violations {
     private static final Logger LOG = LoggerFactory.getLogger(Violations.class);
 
+    private final boolean logged;
     private final AtomicLongArray counts = new AtomicLongArray(Rule.values().length);
 
+    public Violations() {
+        this(true);
+    }
+
+    private Violations(boolean logged) {
+        this.logged = logged;
+    }
+
+    /** One that counts alone, for what is played before any client is there. */
+    public static Violations unlogged() {
+        return new Violations(false);
+    }
+
     /** A rule has been broken, as these words tell. */
     public void add(Rule rule, String what) {
         long count = counts.incrementAndGet(rule.ordinal());
-        LOG.error("invariant violated: rule={} count={} {}", name(rule), count, what);
+        if (logged) {
+            LOG.error("invariant violated: rule={} count={} {}", name(rule), count, what);
+        }
     }
 
     /** How often this rule was broken. */
--- /dev/null
+++ b/src/main/java/beaconladder/lab/soak/Soak.java
@@ -0,0 +1,130 @@
+package beaconladder.lab.soak;
+
+import beaconladder.lab.Tasks;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+/** Plays rounds of overlapping troubles to a fleet of real routers; the seed draws them. */
+public final class Soak {
+    static final int GROUPS = 2;
+    static final int MEMBERS = 3;
+    private static final int CLIENTS_A_ROUTER = 4;
+    private static final int ROUND_MILLIS = 2_500;
+    private static final int MOST_AT_ONCE = 3;
+    private static final int MOST_SHOWN = 30;
+    private static final int SETTLE_MILLIS = 4_000;
+    /** Of what clients sent while all was well again, so much has to be served. */
+    private static final double SERVED_AT_END = 0.9;
+    /** What no router may log. */
+    private static final Pattern FAULT = Pattern.compile(
+            "invariant violated: rule|goes on after a fault|by a fault of this program|a client's connection ends"
+            + "|OutOfMemoryError|Exception in thread");
+
+    private final long seed;
+    private final int count;
+    private final int rounds;
+    private final PrintWriter out;
+    private final SplittableRandom chance;
+    private final Map<Trouble, Integer> played = new EnumMap<>(Trouble.class);
+
+    /**
+     * One that has not begun.
+     *
+     * @param count  how many routers
+     * @param rounds how often two or three troubles begin together
+     */
+    public Soak(long seed, int count, int rounds, PrintWriter out) {
+        this.seed = seed;
+        this.count = count;
+        this.rounds = rounds;
+        this.out = out;
+        this.chance = new SplittableRandom(seed);
+    }
+
+    /** Plays it with these troubles; whether every rule held. */
+    public boolean play(List<Trouble> from) throws IOException, InterruptedException {
+        Path folder = Files.createTempDirectory("soak");
+        try (SoakFleet fleet = new SoakFleet(count, folder, FaultShim.build(folder))) {
+            fleet.clients().start(CLIENTS_A_ROUTER * count, chance.split());
+            for (int i = 0; i < rounds; i++) {
+                round(new Troubles(fleet), from);
+            }
+            Tasks.sleep(SETTLE_MILLIS);
+            long wellFrom = System.nanoTime();
+            Tasks.sleep(SETTLE_MILLIS);
+            fleet.clients().end();
+            fleet.end();
+            return verdict(fleet, wellFrom, folder);
+        }
+    }
+
+    private void round(Troubles troubles, List<Trouble> from) throws IOException, InterruptedException {
+        Set<Trouble> drawn = new HashSet<>();
+        for (int i = 2 + chance.nextInt(MOST_AT_ONCE - 1); i > 0; i--) {
+            drawn.add(from.get(chance.nextInt(from.size())));
+        }
+        out.println("round: " + drawn.stream().map(Soak::name).sorted().collect(Collectors.joining(", ")));
+        out.flush();
+        List<Troubles.End> ends = new ArrayList<>();
+        for (Trouble trouble : drawn.stream().sorted().toList()) {
+            played.merge(trouble, 1, Integer::sum);
+            ends.add(troubles.begin(trouble, ROUND_MILLIS, chance));
+            Tasks.sleep(chance.nextInt(400));
+        }
+        Tasks.sleep(ROUND_MILLIS);
+        for (Troubles.End end : ends) {
+            end.run();
+            Tasks.sleep(chance.nextInt(200));
+        }
+    }
+
+    private boolean verdict(SoakFleet fleet, long wellFrom, Path folder) {
+        SoakOracle oracle = new SoakOracle(fleet);
+        oracle.judge();
+        List<String> broken = new ArrayList<>(fleet.broken());
+        for (SoakRouter router : fleet.routers()) {
+            router.log().lines().filter(line -> FAULT.matcher(line).find()).limit(3)
+                    .forEach(line -> broken.add("router " + router.number + " logged: " + line));
+        }
+        List<Request> well = fleet.requests().values().stream().filter(r -> r.sentAt > wellFrom)
+                .filter(r -> r.end() != Request.End.LEFT && r.end() != Request.End.UNREAD).toList();
+        long servedWell = well.stream().filter(r -> r.end() == Request.End.SERVED).count();
+        if (well.isEmpty() || servedWell < SERVED_AT_END * well.size()) {
+            broken.add("after the last trouble only " + servedWell + " of " + well.size() + " were served");
+        }
+        broken.addAll(oracle.shown());
+        broken.stream().limit(MOST_SHOWN).forEach(out::println);
+        boolean held = broken.isEmpty();
+        if (!held) {
+            out.println("logs in " + folder);
+        }
+        long served = fleet.requests().values().stream().filter(r -> r.end() == Request.End.SERVED).count();
+        out.printf(Locale.ROOT, "{\"rehearsal\":\"soak\",\"seed\":%d,\"routers\":%d,\"troubles\":{%s},\"requests\":%d,"
+                + "\"served\":%d,\"served_after\":%.3f,\"broken\":{%s},\"others\":%d,\"held\":%b}%n", seed, count,
+                counts(played), fleet.requests().size(), served, servedWell / Math.max(1.0, well.size()),
+                counts(oracle.counts()), broken.size() - oracle.shown().size(), held);
+        out.flush();
+        return held;
+    }
+
+    private static String counts(Map<? extends Enum<?>, Integer> of) {
+        return of.entrySet().stream().map(e -> "\"" + name(e.getKey()) + "\":" + e.getValue())
+                .collect(Collectors.joining(","));
+    }
+
+    private static String name(Enum<?> of) {
+        return of.name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/lab/soak/SoakClients.java
@@ -0,0 +1,210 @@
+package beaconladder.lab.soak;
+
+import beaconladder.lab.Caller;
+import beaconladder.lab.Tasks;
+import beaconladder.pg.Outbox;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Clients of the soak: usual ones, ones that write ahead, that leave, that rest, and bad ones. */
+final class SoakClients {
+    private static final String GREETING = "R S S S S K Z";
+    /** A client counts on its answer for so long behind its time; then it is lost. */
+    private static final int PATIENCE_MILLIS = 1_500;
+    /** Bad clients get their error or their close within this, and some slack of the machine. */
+    private static final int BAD_MILLIS = 3_500;
+    private static final int MOST_AHEAD = 5;
+
+    private final List<SoakRouter> routers;
+    private final Map<String, Request> requests;
+    private final List<String> broken;
+    private final AtomicLong ids = new AtomicLong();
+    private final List<Thread> threads = new ArrayList<>();
+    /** Whether bad clients come. */
+    volatile boolean bad;
+    private volatile boolean over;
+
+    SoakClients(List<SoakRouter> routers, Map<String, Request> requests, List<String> broken) {
+        this.routers = routers;
+        this.requests = requests;
+        this.broken = broken;
+    }
+
+    void start(int count, SplittableRandom chance) {
+        for (int i = 0; i < count; i++) {
+            SplittableRandom own = chance.split();
+            threads.add(Tasks.spawn(() -> live(own)));
+        }
+    }
+
+    /** Ends them once what they have out is answered. */
+    void end() {
+        over = true;
+        threads.forEach(thread -> Tasks.join(thread, 10_000));
+    }
+
+    private void live(SplittableRandom chance) {
+        while (!over) {
+            SoakRouter router = routers.get(chance.nextInt(routers.size()));
+            if (!router.ready()) {
+                Tasks.sleep(5);
+                continue;
+            }
+            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), router.port)) {
+                socket.setTcpNoDelay(true);
+                if (bad && chance.nextInt(12) == 0) {
+                    behaveBadly(socket, chance);
+                } else {
+                    converse(socket, router, chance);
+                }
+            } catch (IOException e) {
+                Tasks.sleep(5);
+            }
+        }
+    }
+
+    private void converse(Socket socket, SoakRouter router, SplittableRandom chance) throws IOException {
+        Caller caller = new Caller(socket);
+        socket.setSoTimeout(3_000);
+        Outbox.startup("app", "shop").writeTo(caller.out);
+        if (!caller.answer().equals(GREETING)) {
+            return;
+        }
+        long after = 0;
+        for (int turns = 1 + chance.nextInt(30); turns > 0 && !over; turns--) {
+            int dice = chance.nextInt(100);
+            int ahead = dice < 15 ? 2 + chance.nextInt(MOST_AHEAD - 1) : 1;
+            Deque<Request> out = send(caller, router, ahead, after, chance);
+            if (dice >= 92) {
+                Tasks.sleep(chance.nextInt(300));
+                out.forEach(request -> request.ended(Request.End.LEFT, "", System.nanoTime()));
+                socket.close();
+                return;
+            }
+            while (!out.isEmpty()) {
+                if (!receive(socket, caller, out)) {
+                    return;
+                }
+            }
+            after = System.currentTimeMillis();
+            Tasks.sleep(chance.nextInt(20) == 0 ? chance.nextInt(4_000) : chance.nextInt(30));
+        }
+    }
+
+    private Deque<Request> send(Caller caller, SoakRouter router, int count, long after, SplittableRandom chance) {
+        Deque<Request> out = new ArrayDeque<>();
+        Outbox text = new Outbox();
+        for (int i = 0; i < count; i++) {
+            Kind kind = Kind.values()[chance.nextInt(Kind.values().length)];
+            Request request = new Request("r" + ids.incrementAndGet(), kind, router.number,
+                    1 + chance.nextInt(Soak.GROUPS), i, System.nanoTime());
+            requests.put(request.id, request);
+            out.add(request);
+            text.append(Outbox.query(request.statement(after)));
+        }
+        try {
+            text.writeTo(caller.out);
+        } catch (IOException e) {
+            // What became of it is told by the answer.
+        }
+        return out;
+    }
+
+    /** Takes the answer to the first; false at the connection's end, with the others ended too. */
+    private boolean receive(Socket socket, Caller caller, Deque<Request> out) throws IOException {
+        Request first = out.peek();
+        long left = (first.deadline() - System.nanoTime()) / 1_000_000 + PATIENCE_MILLIS;
+        socket.setSoTimeout((int) Math.max(1, left));
+        String answer;
+        try {
+            answer = caller.answer();
+        } catch (SocketTimeoutException e) {
+            endAll(out, Request.End.SILENT);
+            return false;
+        }
+        long now = System.nanoTime();
+        if (answer.endsWith("closed")) {
+            endAll(out, !answer.equals("closed") ? Request.End.CUT
+                    : caller.reset() ? Request.End.UNREAD : Request.End.CUT);
+            return false;
+        }
+        out.poll();
+        if (answer.startsWith("T D:")) {
+            check(first, answer);
+            first.ended(Request.End.SERVED, "", now);
+        } else if (answer.startsWith("E:53300") || answer.startsWith("E:57P03")) {
+            first.ended(Request.End.REFUSED, answer.substring(2, 7), now);
+        } else {
+            first.ended(Request.End.FAILED, answer, now);
+        }
+        return true;
+    }
+
+    private void check(Request request, String answer) {
+        String own = HexFormat.of().formatHex(request.id.getBytes(StandardCharsets.US_ASCII));
+        String got = answer.substring("T D:".length()).split(" ")[0];
+        if (!own.startsWith(got)) {
+            broken.add("a value that no host made for it: " + answer + " to " + request);
+        }
+    }
+
+    private static void endAll(Deque<Request> out, Request.End how) {
+        long now = System.nanoTime();
+        out.forEach(request -> request.ended(how, "", now));
+        out.clear();
+    }
+
+    /** Sends nonsense, or half of something, and stays; it has to be told or closed in time. */
+    private void behaveBadly(Socket socket, SplittableRandom chance) throws IOException {
+        byte[] start = bytes(Outbox.startup("app", "shop"));
+        byte[] query = bytes(Outbox.query("SELECT doc FROM items WHERE id = 'x' /* id=b" + ids.incrementAndGet()
+                + ",c=own,t=acme,d=900,cluster=1,after=1e" + chance.nextInt(99_999_999) + " */"));
+        int way = chance.nextInt(5);
+        long from = System.nanoTime();
+        switch (way) {
+            case 0 -> socket.getOutputStream().write(start, 0, start.length / 2);
+            case 1 -> socket.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            case 2 -> {
+                socket.getOutputStream().write(start);
+                socket.getOutputStream().write(query, 0, query.length - 3);
+            }
+            case 3 -> {
+                socket.getOutputStream().write(start);
+                socket.getOutputStream().write(new byte[] {'Q', 0x7f, 0, 0, 0, 1, 2, 3});
+            }
+            default -> {
+                socket.getOutputStream().write(start);
+                socket.getOutputStream().write(query);
+            }
+        }
+        socket.setSoTimeout(BAD_MILLIS);
+        Caller caller = new Caller(socket);
+        socket.setSoTimeout(BAD_MILLIS);
+        String said = "";
+        try {
+            while (!said.contains("E:") && !said.contains("closed")) {
+                said = caller.answer();
+            }
+        } catch (SocketTimeoutException e) {
+            broken.add("a bad client (way " + way + ") was neither told nor closed in "
+                    + (System.nanoTime() - from) / 1_000_000 + " ms, " + said);
+        }
+    }
+
+    private static byte[] bytes(Outbox out) {
+        byte[] bytes = new byte[out.size()];
+        out.bytes().get(bytes);
+        return bytes;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/lab/soak/SoakFleet.java
@@ -0,0 +1,163 @@
+package beaconladder.lab.soak;
+
+import beaconladder.lab.DiscoveryStandIn;
+import beaconladder.lab.Programs;
+import beaconladder.lab.Tasks;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Collectors;
+
+/** Routers, hosts, discovery's agents and clients of one soak. */
+final class SoakFleet implements AutoCloseable {
+    private static final int USUAL_MILLIS = 5;
+    private static final int USUAL_LAG_MILLIS = 20;
+    private static final List<String> TRACED = List.of("-Dorg.slf4j.simpleLogger.log.beaconladder.trace=debug",
+            "-Dorg.slf4j.simpleLogger.showDateTime=true");
+
+    /** A span, System.nanoTime's; its end is Long.MAX_VALUE while it lasts. */
+    record Span(long from, long to) {
+    }
+
+    private final Programs programs;
+    private final List<SoakRouter> routers = new ArrayList<>();
+    private final List<SoakHost> hosts = new ArrayList<>();
+    private final List<DiscoveryStandIn> discoveries = new ArrayList<>();
+    private final Map<Integer, Integer> discoveryOf = new ConcurrentHashMap<>();
+    private final Map<String, Request> requests = new ConcurrentHashMap<>();
+    private final List<String> broken = new CopyOnWriteArrayList<>();
+    private final List<Span> discoveryTroubles = new CopyOnWriteArrayList<>();
+    private final SoakClients clients;
+    private int troubled;
+    private long troubledFrom;
+
+    /** Stands it up and waits until all routers are ready. */
+    SoakFleet(int count, Path folder, FaultShim shim) throws IOException {
+        programs = new Programs(folder);
+        for (int i = 0; i < Soak.GROUPS * Soak.MEMBERS; i++) {
+            hosts.add(new SoakHost(i, 1 + i / Soak.MEMBERS, i % Soak.MEMBERS == 0, requests));
+        }
+        for (int i = 0; i < 2; i++) {
+            DiscoveryStandIn agent = new DiscoveryStandIn();
+            agent.waitMillis = 60_000;
+            agent.list(true, known());
+            discoveries.add(agent);
+        }
+        for (int i = 0; i < count; i++) {
+            int port = Programs.freePort();
+            discoveryOf.put(i, i % 2);
+            Programs.Program program = programs.program("n" + i, configuration(i, port, count), TRACED, "serve");
+            FaultPlan plan = new FaultPlan(folder.resolve("plan" + i));
+            program.environment("LD_PRELOAD", shim.library().toString());
+            program.environment("FAULT_SHIM_PLAN", plan.file().toString());
+            routers.add(new SoakRouter(i, port, program, plan, broken));
+        }
+        clients = new SoakClients(routers, requests, broken);
+        List<Thread> starts = new ArrayList<>();
+        routers.forEach(router -> starts.add(Tasks.spawn(router::start)));
+        starts.forEach(start -> Tasks.join(start, 40_000));
+    }
+
+    private String configuration(int router, int port, int count) {
+        return SoakConfiguration.of("n" + router, port,
+                discoveries.get(discoveryOf.get(router)).door.getLocalPort(), count, known());
+    }
+
+    private String known() {
+        return hosts.stream().map(SoakHost::entry).collect(Collectors.joining(","));
+    }
+
+    List<SoakRouter> routers() {
+        return routers;
+    }
+
+    List<SoakHost> hosts() {
+        return hosts;
+    }
+
+    List<DiscoveryStandIn> discoveries() {
+        return discoveries;
+    }
+
+    SoakClients clients() {
+        return clients;
+    }
+
+    Map<String, Request> requests() {
+        return requests;
+    }
+
+    List<String> broken() {
+        return broken;
+    }
+
+    List<Span> discoveryTroubles() {
+        return discoveryTroubles;
+    }
+
+    /** Discovery tells of this host as it is now. */
+    void list(SoakHost host) {
+        discoveries.forEach(agent -> agent.list(false, host.entry()));
+    }
+
+    /** Another agent is this router's from now on; a new configuration tells it so. */
+    void moveDiscovery(SoakRouter router) throws IOException, InterruptedException {
+        discoveryTrouble(true);
+        discoveryOf.merge(router.number, 1, (at, one) -> (at + one) % 2);
+        restoreConfiguration(router);
+        discoveryTrouble(false);
+    }
+
+    /** Its configuration as it should be. */
+    void restoreConfiguration(SoakRouter router) throws IOException, InterruptedException {
+        router.reload(configuration(router.number, router.port, routers.size()));
+    }
+
+    /** Some discovery can't be reached from now on, or can again. */
+    synchronized void discoveryTrouble(boolean begins) {
+        if (begins && troubled++ == 0) {
+            troubledFrom = System.nanoTime();
+            discoveryTroubles.add(new Span(troubledFrom, Long.MAX_VALUE));
+        } else if (!begins && --troubled == 0) {
+            discoveryTroubles.remove(discoveryTroubles.size() - 1);
+            discoveryTroubles.add(new Span(troubledFrom, System.nanoTime()));
+        }
+    }
+
+    /** What is slow, late or far behind at this host is as usual again. */
+    static void calm(SoakHost host) {
+        host.proxy().acceptMillis = 0;
+        host.proxy().resetsPerMille = 0;
+        host.proxy().idleCloseMillis = 0;
+        host.delayMillis = USUAL_MILLIS;
+        host.lagMillis = USUAL_LAG_MILLIS;
+    }
+
+    /** The routers end as planned. */
+    void end() throws IOException, InterruptedException {
+        List<Thread> ends = new ArrayList<>();
+        for (SoakRouter router : routers) {
+            if (!router.alive()) {
+                broken.add("router " + router.number + " had ended by itself");
+                continue;
+            }
+            ends.add(Tasks.spawn(router::terminate));
+        }
+        ends.forEach(end -> Tasks.join(end, 10_000));
+    }
+
+    @Override
+    public void close() throws IOException {
+        programs.close();
+        for (SoakHost host : hosts) {
+            host.close();
+        }
+        for (DiscoveryStandIn agent : discoveries) {
+            agent.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconladder/lab/soak/Trouble.java
@@ -0,0 +1,51 @@
+package beaconladder.lab.soak;
+
+/** What can go wrong in a soak; two or three at a time. */
+public enum Trouble {
+    /** A router is told to end, and started anew. */
+    TERMINATE,
+    /** A router is killed, and started anew. */
+    KILL,
+    /** A new configuration moves discovery; sometimes twice in a row, or with a broken file behind it. */
+    RELOAD,
+    /** A router stands still for up to 0.15 s, several times. */
+    PAUSE,
+    /** The wall clock of a router is stepped by seconds or an hour, either way, and stays there. */
+    CLOCK_STEP,
+    /** accept fails: ECONNABORTED, ENFILE, EMFILE, ENOBUFS, EINTR. */
+    ACCEPT_FAILS,
+    /** connect or socket fails: ENOBUFS, EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT. */
+    CONNECT_FAILS,
+    /** A third of the threads can't be started for a while. */
+    THREADS_FAIL,
+    /** Reads and writes on sockets are short or interrupted. */
+    SHORT_IO,
+    /** Discovery is silent. */
+    DISCOVERY_SILENT,
+    /** Discovery's answers are cut, dripped or reset. */
+    DISCOVERY_BREAKS,
+    /** A replica drains, is gone, and comes back cold. */
+    HOST_DRAINS,
+    /** A host crashes and comes back cold. */
+    HOST_CRASHES,
+    /** A host hangs with all that it has. */
+    HOST_HANGS,
+    /** A host is cut off: silent, and new connections never come up. */
+    HOST_SILENT,
+    /** A host fails, turns away, or loses its answers. */
+    HOST_FAILS,
+    /** A host's answers are spoilt. */
+    HOST_SPOILS,
+    /** Connections to hosts come up late, and are reset under requests. */
+    HOST_NETWORK,
+    /** Hosts close what is idle early. */
+    HOST_IDLE_CLOSE,
+    /** Hosts that answered in milliseconds take a second. */
+    HOSTS_SLOW,
+    /** Replicas lag behind a bound. */
+    REPLICAS_LAG,
+    /** Another host is the primary from now on; lists tell it late. */
+    PRIMARY_MOVES,
+    /** Bad clients come. */
+    BAD_CLIENTS
+}
--- a/src/main/java/beaconladder/serve/Desk.java
+++ b/src/main/java/beaconladder/serve/Desk.java
@@ -46,8 +46,12 @@
     private long taken;
 
     Desk(long seed, Map<String, String> start, Gate gate) {
+        this(seed, start, gate, new Monitor(start));
+    }
+
+    Desk(long seed, Map<String, String> start, Gate gate, Monitor monitor) {
         this.gate = gate;
-        monitor = new Monitor(Long.parseLong(start.getOrDefault("rules.drain_grace_us", "2000000")) * 1_000);
+        this.monitor = monitor;
         router = gate == null ? new Logic(seed, start) : new Confined(new Logic(seed, start), gate);
         orders = new Orders(this, gate, trace, monitor);
         rounds = new Rounds(router, orders);
--- a/src/main/java/beaconladder/serve/Monitor.java
+++ b/src/main/java/beaconladder/serve/Monitor.java
@@ -3,6 +3,7 @@
 import beaconladder.invariants.Invariants;
 import beaconladder.invariants.Violations;
 import beaconladder.metrics.Counters;
+import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -12,18 +13,20 @@
     private static final long EVERY = 60_000_000_000L;
 
     private final Counters counters = new Counters();
-    private final Violations violations = new Violations();
+    private final Violations violations;
     private final Invariants invariants;
     private long toldAt = System.nanoTime();
     private String told = "";
 
-    /**
-     * One that has counted nothing.
-     *
-     * @param drainGrace how long after its listing a draining host may still be sent to, in nanoseconds
-     */
-    Monitor(long drainGrace) {
-        invariants = new Invariants(violations, drainGrace);
+    /** One that has counted nothing, for a router with these settings. */
+    Monitor(Map<String, String> settings) {
+        this(settings, new Violations());
+    }
+
+    Monitor(Map<String, String> settings, Violations violations) {
+        this.violations = violations;
+        long graceMicros = Long.parseLong(settings.getOrDefault("rules.drain_grace_us", "2000000"));
+        invariants = new Invariants(violations, graceMicros * 1_000);
     }
 
     Counters counters() {
--- a/src/main/java/beaconladder/serve/WarmUp.java
+++ b/src/main/java/beaconladder/serve/WarmUp.java
@@ -1,5 +1,6 @@
 package beaconladder.serve;
 
+import beaconladder.invariants.Violations;
 import beaconladder.pg.Outbox;
 import beaconladder.pg.Room;
 import beaconladder.roster.Watch;
@@ -29,7 +30,9 @@
 
     static void run(Stated stated, Threads threads) throws InterruptedException {
         Room room = new Room(1 << 20);
-        Desk desk = new Desk(1, stated.start(), null);
+        Desk desk = new Desk(1, stated.start(), null,
+                // Cold code is slow, and no client is there yet: what it takes too long for is no violation.
+                new Monitor(stated.start(), Violations.unlogged()));
         InetSocketAddress nowhere = new InetSocketAddress("127.0.0.1", 1);
         InetSocketAddress primary = new InetSocketAddress("127.0.0.1", 2);
         Descriptors descriptors = new Descriptors(stated.descriptors());
