--- /dev/null
+++ b/src/test/java/beaconladder/serve/SystemCallsIT.java
@@ -0,0 +1,116 @@
+package beaconladder.serve;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beaconladder.lab.Caller;
+import beaconladder.lab.soak.FaultPlan;
+import beaconladder.lab.soak.FaultPlan.Field;
+import beaconladder.lab.soak.FaultShim;
+import beaconladder.pg.Outbox;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** System calls that fail for a while, for the program as operators start it. */
+@Timeout(200)
+class SystemCallsIT extends ServedProgram {
+    private static final int ENFILE = 23;
+    private static final int ALWAYS = 1_000;
+
+    private FaultPlan plan;
+
+    @BeforeEach
+    void startWithTheShim() throws Exception {
+        plan = new FaultPlan(folder.resolve("plan"));
+        String shim = FaultShim.build(folder).library().toString();
+        int port = Program.freePort();
+        router = keep(new Program(folder, config(port), port, "export LD_PRELOAD=" + shim + " FAULT_SHIM_PLAN="
+                + plan.file() + "; ")).ready();
+    }
+
+    /** Seen in the soak: idle clients were closed a hundred times a second, and could not come back. */
+    @Test
+    void acceptThatFailsForAWhileClosesNobodyAndHoldsNobodyUp() throws Exception {
+        List<Caller> idle = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            idle.add(caller());
+            assertThat(ask(idle.get(i), read("i" + i, 900))).endsWith("Z");
+        }
+        Caller busy = caller();
+        Thread.sleep(200);
+        plan.set(Field.ACCEPT_ERRNO, ENFILE);
+        plan.set(Field.ACCEPT_PER_MILLE, ALWAYS);
+        Caller late = keep(new Caller(new Socket(InetAddress.getLoopbackAddress(), router.port)));
+        Outbox.startup("app", "shop").writeTo(late.out);
+        long longest = 0;
+        for (int i = 0; i < 50; i++) {
+            long from = System.nanoTime();
+            assertThat(ask(busy, read("b" + i, 900))).startsWith("T D:");
+            longest = Math.max(longest, (System.nanoTime() - from) / 1_000_000);
+            Thread.sleep(10);
+        }
+        plan.clear();
+        assertThat(late.answer()).isEqualTo("R S S S S K Z");
+        for (int i = 0; i < 5; i++) {
+            assertThat(ask(idle.get(i), read("j" + i, 900))).as("idle client " + i).startsWith("T D:");
+        }
+        assertThat(longest).as("ms, the longest answer meanwhile").isLessThan(100);
+    }
+
+    /** Seen in the soak: queries written ahead without an answer, on connections that stayed open. */
+    @Test
+    void aThreadThatCannotBeStartedLosesNoRequest() throws Exception {
+        a.delayMillis = 30;
+        b.delayMillis = 30;
+        List<Caller> clients = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            clients.add(impatientCaller());
+        }
+        List<String> answers = new ArrayList<>();
+        for (int round = 0; round < 6; round++) {
+            // Threads that are kept for their next use have ended by then.
+            Thread.sleep(2_300);
+            plan.set(Field.THREAD_PER_MILLE, 500);
+            for (Caller client : clients) {
+                Outbox ahead = new Outbox();
+                for (int i = 0; i < 4; i++) {
+                    ahead.append(Outbox.query(read(clients.indexOf(client) + "-" + round + "-" + i, 900)));
+                }
+                ahead.writeTo(client.out);
+            }
+            for (Caller client : clients) {
+                for (int i = 0; i < 4; i++) {
+                    answers.add(answer(client));
+                }
+            }
+            plan.clear();
+            assertThat(answers).allMatch(answer -> answer.startsWith("T D:") || answer.startsWith("E:53300"));
+        }
+        assertThat(answers).hasSize(288);
+        assertThat(answers.stream().filter(answer -> answer.startsWith("T D:")).count()).isGreaterThan(144);
+        assertThat(router.log()).doesNotContain("Exception in thread");
+    }
+
+    /** One that waits for no answer longer than twice its time. */
+    private Caller impatientCaller() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), router.port);
+        Caller client = keep(new Caller(socket));
+        socket.setSoTimeout(1_800);
+        Outbox.startup("app", "shop").writeTo(client.out);
+        assertThat(client.answer()).isEqualTo("R S S S S K Z");
+        return client;
+    }
+
+    private static String answer(Caller client) {
+        try {
+            return client.answer();
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+}
