--- a/src/main/java/beaconladder/HostRecord.java
+++ b/src/main/java/beaconladder/HostRecord.java
@@ -46,6 +46,10 @@
     void probed(Host host, Outcome outcome, Word report, long now) {
         host.probeOut = false;
         agenda.change(host.group);
+        if (outcome == Outcome.MOOT) {
+            // It never left this machine.
+            return;
+        }
         if (outcome == Outcome.COMMITTED) {
             // What was held against a host that could not be reached is settled by reaching it; silence is
             // not.
--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -15,7 +15,7 @@
     private static final int WASTE = 64 * 1024;
     /** So much is read of a client with too many queries ahead: its end stands behind it. Some hundred. */
     private static final int BEHIND = 128 * 1024;
-    /** What a client still sends after its end was told is read so long; networks need far less. */
+    /** What a client still sends after its end was told is read so long. */
     static final long LINGER = 500_000_000L;
 
     private final Clients clients;
@@ -97,8 +97,6 @@
         return of != null && desk.cells().borrows(of);
     }
 
-    // ---- The reader: one thread for all clients, which never waits for any of them ------------------------
-
     /** Takes in what is there and does what it says; false when the connection is over. */
     boolean readable() {
         try {
@@ -144,7 +142,7 @@
                 && !(lastLook && endedAt == 0 && in.begunAt() == 0);
     }
 
-    /** Whether a query that has come in now is to be declined, as the last look was taken before it began. */
+    /** Whether a query that has come in now is refused, as it began behind the last look. */
     boolean tooLate() {
         boolean late = lastLook && !restDue;
         restDue = false;
@@ -156,7 +154,7 @@
         task.cancel();
     }
 
-    /** Goes on with what is there, once its task has got on; false when the connection is over. */
+    /** Goes on once its task has got on; false when the connection is over. */
     boolean resume() {
         try {
             reader.pump();
--- a/src/main/java/beaconladder/serve/ClientTask.java
+++ b/src/main/java/beaconladder/serve/ClientTask.java
@@ -49,8 +49,8 @@
     @Override
     public void run() {
         for (Ahead.Work next = ahead.next(atOnce()); next != null; next = ahead.next(atOnce())) {
-            more();
             try {
+                more();
                 ahead.answered(next, next.query() == null
                         ? new Reply(Asked.error("22021", "a query that is not UTF-8"), false) : answer(next),
                         desk.now());
--- a/src/main/java/beaconladder/serve/Clients.java
+++ b/src/main/java/beaconladder/serve/Clients.java
@@ -6,7 +6,6 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
-import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.Queue;
@@ -17,7 +16,6 @@
 /** Takes clients in, within the descriptors there are. */
 final class Clients implements Runnable {
     private static final Logger LOG = LoggerFactory.getLogger(Clients.class);
-    private static final int BACKLOG = 1024;
     private static final int SWEEP_MILLIS = 50;
 
     private final Desk desk;
@@ -30,11 +28,9 @@
     private final Crowd crowd;
     private final Queue<Client> resumed = new ConcurrentLinkedQueue<>();
     private Selector selector;
-    private ServerSocketChannel listener;
+    private ClientAcceptor acceptor;
     /** Closed since the last selection began: the selector holds their descriptors until the next one. */
     private int closing;
-    /** Whether clients wait in the listener's queue for a descriptor. */
-    private boolean queued;
     /** The planned end that has come, or null. */
     private volatile Drain draining;
 
@@ -51,11 +47,7 @@
 
     void listen(InetSocketAddress address) throws IOException {
         selector = Selector.open();
-        listener = ServerSocketChannel.open();
-        listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-        listener.bind(address, BACKLOG);
-        listener.configureBlocking(false);
-        listener.register(selector, SelectionKey.OP_ACCEPT);
+        acceptor = new ClientAcceptor(selector, address, descriptors, crowd, desk.monitor(), this::take);
     }
 
     /** Reads for all clients until the last has gone after the end. */
@@ -72,13 +64,11 @@
                 } finally {
                     descriptors.give(Descriptors.Use.CLIENT, closed);
                 }
-                if (queued) {
-                    accept();
-                }
+                acceptor.acceptQueued();
                 resume();
                 if (draining != null && !ends) {
                     ends = true;
-                    close();
+                    acceptor.close();
                     crowd.all().forEach(client -> {
                         client.lastLook();
                         interest(client);
@@ -117,7 +107,7 @@
                 interest(client);
             }
         } else {
-            accept();
+            acceptor.accept();
         }
     }
 
@@ -128,37 +118,6 @@
         }
     }
 
-    /**
-     * Takes in who waits, while there are descriptors: the others stay in the listener's queue, where their
-     * time runs but nothing of theirs is lost.
-     */
-    private void accept() {
-        try {
-            queued = false;
-            while (listener.isOpen()) {
-                crowd.makeRoomFor(descriptors.held());
-                queued = !descriptors.take(Descriptors.Use.CLIENT);
-                SocketChannel channel = queued ? null : listener.accept();
-                if (channel == null) {
-                    descriptors.give(Descriptors.Use.CLIENT, queued ? 0 : 1);
-                    break;
-                }
-                take(channel);
-            }
-            SelectionKey key = listener.keyFor(selector);
-            if (key != null && key.isValid()) {
-                key.interestOps(queued ? 0 : SelectionKey.OP_ACCEPT);
-            }
-        } catch (IOException e) {
-            descriptors.give(Descriptors.Use.CLIENT, 1);
-            // Looked for again at the next pass: the listener may not be watched now.
-            queued = listener.isOpen();
-            LOG.error("taking clients in goes on after a fault", e);
-            crowd.makeRoom();
-            Crowd.pause();
-        }
-    }
-
     private void take(SocketChannel channel) {
         Client client = new Client(this, desk, lines, new Wire.Real(channel));
         crowd.all().add(client);
@@ -211,11 +170,7 @@
 
     /** Starts a client's task; false when there is no thread left for it. */
     boolean execute(Runnable task) {
-        if (!threads.room(1)) {
-            return false;
-        }
-        threads.execute(task);
-        return true;
+        return threads.room(1) && threads.tryExecute(task);
     }
 
     /** For the reader alone, once the client's connection is closed. */
@@ -235,14 +190,4 @@
         draining = drain;
         selector.wakeup();
     }
-
-    /** Closes the listener, with all taken in that stand in its queue: a close would reset them. */
-    private void close() {
-        accept();
-        try {
-            listener.close();
-        } catch (IOException e) {
-            LOG.warn("the listener: {}", e.toString());
-        }
-    }
 }
--- a/src/main/java/beaconladder/serve/Desk.java
+++ b/src/main/java/beaconladder/serve/Desk.java
@@ -21,12 +21,16 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Holds the module, its one lock and its one clock. Each event is told under the lock, then the rounds are
  * played; what has to be done on sockets is done by others, or here once the lock is free.
  */
 final class Desk implements Watch.Listener {
+    private static final Logger LOG = LoggerFactory.getLogger(Desk.class);
+
     private final ReentrantLock lock = new ReentrantLock();
     private final Timer timer = new Timer(this, lock);
     private final Router router;
@@ -220,7 +224,16 @@
             lock.unlock();
         }
         trace.flush(traced);
-        then.forEach(errand -> errand.accept(lines));
+        then.forEach(this::run);
+    }
+
+    /** One that fails keeps no other from being done. */
+    private void run(Consumer<Errands> errand) {
+        try {
+            errand.accept(lines);
+        } catch (RuntimeException | Error e) {
+            LOG.error("an errand goes by a fault of this program", e);
+        }
     }
 
     Runnable timer() {
--- a/src/main/java/beaconladder/serve/Lines.java
+++ b/src/main/java/beaconladder/serve/Lines.java
@@ -13,7 +13,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executor;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -22,7 +21,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Lines.class);
 
     private final Desk desk;
-    private final Executor threads;
+    private final TaskStarter threads;
     private final Room room;
     private final long dialNanos;
     private final String probeQuery;
@@ -33,7 +32,7 @@
     private final Set<Call> calls = ConcurrentHashMap.newKeySet();
     private final Descriptors descriptors;
 
-    Lines(Desk desk, Map<String, String> start, Executor threads, Room room, Descriptors descriptors,
+    Lines(Desk desk, Map<String, String> start, TaskStarter threads, Room room, Descriptors descriptors,
             Opener opener) {
         this.desk = desk;
         this.descriptors = descriptors;
@@ -198,17 +197,17 @@
     void send(Hand.Order order, Statement statement) {
         Call call = new Call(order.submission().host, order.submission(), statement,
                 desk.nanoTime(order.nanos()));
-        if (cancels) {
+        // The answer of a copy must not wait for one that can't be called off, unless there is no thread for it.
+        if (cancels || !threads.tryExecute(call)) {
             call.run();
-        } else {
-            // The answer of a copy must not wait for one that can't be called off.
-            threads.execute(call);
         }
     }
 
     @Override
     public void start(Hand hand, Hand.Order order) {
-        threads.execute(() -> send(order, hand.statement));
+        if (!threads.tryExecute(() -> send(order, hand.statement))) {
+            desk.attempts().ended(order.submission(), Outcome.MOOT, Word.SILENT, Word.SILENT, null);
+        }
     }
 
     /** One whose call has not begun yet finds its txn at an end before it writes anything. */
@@ -223,7 +222,9 @@
 
     @Override
     public void probe(Host host) {
-        threads.execute(new Call(host, null, null, System.nanoTime() + dialNanos));
+        if (!threads.tryExecute(new Call(host, null, null, System.nanoTime() + dialNanos))) {
+            desk.attempts().probed(host, Outcome.MOOT, Word.SILENT);
+        }
     }
 
     @Override
@@ -243,7 +244,6 @@
         }
     }
 
-    /** Closes the connection that has lain idle longest; false when none is idle. */
     boolean closeOldest() {
         return idle.closeOldest();
     }
--- a/src/main/java/beaconladder/serve/Threads.java
+++ b/src/main/java/beaconladder/serve/Threads.java
@@ -1,13 +1,16 @@
 package beaconladder.serve;
 
-import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The router's threads, and how many more of them its memory has room for. */
-final class Threads implements Executor {
+final class Threads implements TaskStarter {
+    private static final Logger LOG = LoggerFactory.getLogger(Threads.class);
     /** The deepest calls here take some ten kilobytes; the JVM touches eighty more below them. */
     private static final long STACK = 256 * 1024;
     /** A thread with its connection was measured at 95 KB resident, 72 of them stack. */
@@ -44,10 +47,10 @@
         return thread;
     }
 
+    /** A limit of the machine can be met at any time, whatever this program counts. */
     @Override
-    public void execute(Runnable task) {
+    public boolean tryExecute(Runnable task) {
         inUse.incrementAndGet();
-        boolean started = false;
         try {
             pool.execute(() -> {
                 try {
@@ -56,11 +59,12 @@
                     inUse.decrementAndGet();
                 }
             });
-            started = true;
-        } finally {
-            if (!started) {
-                inUse.decrementAndGet();
-            }
+            return true;
+        } catch (OutOfMemoryError | RejectedExecutionException e) {
+            // Thread.start tells a thread that can't be had as memory that can't.
+            inUse.decrementAndGet();
+            LOG.warn("no thread could be started: {}", e.getMessage());
+            return false;
         }
     }
 }
--- a/src/main/java/beaconladder/serve/WarmUp.java
+++ b/src/main/java/beaconladder/serve/WarmUp.java
@@ -63,7 +63,7 @@
                 return n < 0 ? null : bytes(Outbox.query(query(desk, types, n)));
             });
             Client client = new Client(clients, desk, lines, tape);
-            threads.execute(() -> {
+            boolean started = threads.tryExecute(() -> {
                 try {
                     while (client.readable()) {
                         tape.await();
@@ -72,6 +72,9 @@
                     done.countDown();
                 }
             });
+            if (!started) {
+                done.countDown();
+            }
         }
         done.await(LONGEST_MILLIS, TimeUnit.MILLISECONDS);
         left.set(0);
--- a/src/test/java/beaconladder/serve/PartsTest.java
+++ b/src/test/java/beaconladder/serve/PartsTest.java
@@ -170,7 +170,10 @@
         Map<String, String> start = new LinkedHashMap<>(Map.of("request_classes.count", "1",
                 "family_info.freshness", "loose", "zones", "east"));
         Desk desk = new Desk(1, start, null);
-        desk.errands(new Lines(desk, start, Runnable::run, new Room(0), new Descriptors(64),
+        desk.errands(new Lines(desk, start, task -> {
+            task.run();
+            return true;
+        }, new Room(0), new Descriptors(64),
                 (address, room) -> {
             throw new IOException("nobody there");
         }));
