--- a/src/test/java/beaconladder/serve/SystemCallsIT.java
+++ b/src/test/java/beaconladder/serve/SystemCallsIT.java
@@ -20,6 +20,7 @@
 @Timeout(200)
 class SystemCallsIT extends ServedProgram {
     private static final int ENFILE = 23;
+    private static final int ENETUNREACH = 101;
     private static final int ALWAYS = 1_000;
 
     private FaultPlan plan;
@@ -113,4 +114,28 @@
             return e.toString();
         }
     }
+
+    /** No host has anything to do with it, and all of them would be set aside at once. */
+    @Test
+    void connectionsThatFailOnThisMachineAreHeldAgainstNoHost() throws Exception {
+        Caller c = caller();
+        assertThat(ask(c, read("w", 900))).startsWith("T D:");
+        a.closesAfterAnswer = true;
+        b.closesAfterAnswer = true;
+        ask(c, read("x", 900));
+        ask(c, write("y", 900));
+        plan.set(Field.CONNECT_ERRNO, ENETUNREACH);
+        plan.set(Field.CONNECT_PER_MILLE, ALWAYS);
+        for (int i = 0; i < 6; i++) {
+            assertThat(ask(c, i % 2 == 0 ? read("f" + i, 200) : write("f" + i, 200))).startsWith("E:53300");
+        }
+        plan.clear();
+        List<Long> times = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            long from = System.nanoTime();
+            assertThat(ask(c, i % 2 == 0 ? read("g" + i, 900) : write("g" + i, 900))).startsWith("T D:");
+            times.add((System.nanoTime() - from) / 1_000_000);
+        }
+        assertThat(times).as("ms of each answer once the network is well").allMatch(ms -> ms < 60);
+    }
 }
