--- a/src/main/java/beaconladder/HostRecord.java
+++ b/src/main/java/beaconladder/HostRecord.java
@@ -46,7 +46,7 @@
     void probed(Host host, Outcome outcome, Word report, long now) {
         host.probeOut = false;
         agenda.change(host.group);
-        if (outcome == Outcome.MOOT) {
+        if (outcome == Outcome.MOOT || outcome == Outcome.LOCAL_FAULT) {
             // It never left this machine.
             return;
         }
@@ -156,7 +156,7 @@
         if (outcome == Outcome.TIMED_OUT || outcome == Outcome.CANCELLED) {
             host.abandoned.add(s);
         }
-        if (outcome != Outcome.CANCELLED && outcome != Outcome.MOOT) {
+        if (outcome != Outcome.CANCELLED && outcome != Outcome.MOOT && outcome != Outcome.LOCAL_FAULT) {
             // A host that fails at once looks idle and quick; errors all over weigh as lost answers do.
             int well = outcome == Outcome.COMMITTED && now - s.sent <= s.txn.type.sla()
                     || outcome == Outcome.MISS ? 1 : 0;
--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -35,6 +35,9 @@
  * it names, repeat until it names none, and come back at its time or with the next news.
  */
 public final class Logic implements Router {
+    /** A lack on this machine meets all hosts alike, and ends within milliseconds or not soon. */
+    private static final long LOCAL_FAULT_REST = 20 * MS;
+
     private final Agenda agenda = new Agenda();
     /** Hosts with connections that this router will hardly use again soon. */
     private final Set<Host> idle = new LinkedHashSet<>();
@@ -119,13 +122,18 @@
         if (out > 0) {
             return copy(txn, now);
         }
-        Verdict.Reason end = txn.submissions.size() >= ends.mostSubmissions(txn) ? Verdict.Reason.ATTEMPTS_USED
+        Verdict.Reason end = txn.submissions.size() - txn.localFaults >= ends.mostSubmissions(txn) ? Verdict.Reason.ATTEMPTS_USED
                 : now >= times.lastUse(txn) ? Verdict.Reason.NO_TIME
                 : times.hopeless(txn, now) ? Verdict.Reason.PRIMARY_LOST : Verdict.Reason.NONE;
         if (end != Verdict.Reason.NONE) {
             return ends.giveUp(txn, end, now);
         }
         txn.want = Txn.Want.NOTHING;
+        if (now < txn.retryAt) {
+            agenda.hold(txn);
+            agenda.schedule(txn, txn.retryAt);
+            return Verdict.waiting();
+        }
         Host host = choice.choose(txn, now);
         if (host != null) {
             return Verdict.send(host, times.timeout(txn, now));
@@ -170,6 +178,10 @@
     public Verdict after(Submission s, Outcome outcome, boolean settled, Word answer, Word report, long now) {
         record.ended(s, outcome, answer, report, now);
         Txn txn = s.txn;
+        if (outcome == Outcome.LOCAL_FAULT) {
+            txn.localFaults++;
+            txn.retryAt = now + LOCAL_FAULT_REST;
+        }
         if (txn.ended) {
             return Verdict.waiting();
         }
--- a/src/main/java/beaconladder/api/Router.java
+++ b/src/main/java/beaconladder/api/Router.java
@@ -18,11 +18,14 @@
 
     /** How a submission or a probe ended. */
     enum Outcome {
-        COMMITTED, ERROR, FULL, TIMED_OUT, UNREACHABLE, RESET, CANCELLED, MOOT, MISS;
+        COMMITTED, ERROR, FULL, TIMED_OUT, UNREACHABLE, RESET, CANCELLED, MOOT, MISS,
+        /** The router's own machine gave no connection, whatever the host. */
+        LOCAL_FAULT;
 
         /** Whether this outcome proves that the submission never ran. */
         public boolean provesNotRun() {
-            return this == FULL || this == UNREACHABLE || this == MOOT || this == MISS;
+            return this == FULL || this == UNREACHABLE || this == MOOT || this == MISS
+                    || this == LOCAL_FAULT;
         }
 
         /** Whether the host itself spoke. */
--- a/src/main/java/beaconladder/fleet/Txn.java
+++ b/src/main/java/beaconladder/fleet/Txn.java
@@ -38,6 +38,10 @@
     public boolean known;
     /** Whether it has drawn for a ticket at a cold primary. */
     public boolean drew;
+    /** Before then it is not sent again, as this machine had no connection to give. */
+    public long retryAt = Long.MIN_VALUE;
+    /** Submissions that never left this machine. */
+    public int localFaults;
     public boolean ended;
     /** When its client was seen to have gone; Long.MAX_VALUE while it is there. */
     public long leftAt = Long.MAX_VALUE;
--- /dev/null
+++ b/src/main/java/beaconladder/serve/HostCall.java
@@ -0,0 +1,176 @@
+package beaconladder.serve;
+
+import beaconladder.api.Router.Outcome;
+import beaconladder.api.Router.Word;
+import beaconladder.fleet.Host;
+import beaconladder.fleet.Submission;
+import beaconladder.pg.Outbox;
+import beaconladder.pg.Statement;
+import beaconladder.serve.Ending.Reach;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A use of a connection, which can be called off. */
+final class HostCall implements Runnable {
+    private static final Logger LOG = LoggerFactory.getLogger(HostCall.class);
+
+    private final Lines lines;
+    private final Desk desk;
+    private final Host host;
+    private final Submission submission;
+    private final Statement statement;
+    private final long until;
+    /** What it uses, until it has given it back. */
+    private Line line;
+    private boolean cancelled;
+    /** Whether the query may have reached the host, in part or whole. */
+    private boolean begun;
+    private boolean localFault;
+
+    /**
+     * One that has not begun.
+     *
+     * @param submission what is sent, or null for a probe
+     * @param until      a nanoTime by which it has to be over
+     */
+    HostCall(Lines lines, Desk desk, Host host, Submission submission, Statement statement, long until) {
+        this.lines = lines;
+        this.desk = desk;
+        this.host = host;
+        this.submission = submission;
+        this.statement = statement;
+        this.until = until;
+    }
+
+    @Override
+    public void run() {
+        lines.begun(this);
+        Ending ending = Ending.early(Reach.NOT_CONNECTED);
+        boolean moot = false;
+        try {
+            boolean connected = connect();
+            // Where its own time ran out on the way, nothing speaks against the host.
+            moot = submission != null && (connected ? !desk.attempts().mayGo(submission)
+                    : System.nanoTime() >= until);
+            if (connected && !moot) {
+                ending = exchange();
+            }
+        } catch (RuntimeException | Error e) {
+            // Whatever it is, the txn has to have its end, and what was written may have run.
+            LOG.error("an exchange with a host ends by a fault of this program", e);
+            ending = Ending.early(begun ? Reach.WRITTEN : Reach.NOT_CONNECTED);
+        }
+        lines.over(this);
+        boolean calledOff = finish(line != null && (moot ? line.greeted() : ending.reusable()));
+        if (submission == null) {
+            tellProbe(ending);
+        } else {
+            tellAttempt(ending, moot, calledOff);
+        }
+    }
+
+    private void tellProbe(Ending ending) {
+        Word report = lines.probeReports() && ending.row()
+                ? Ending.report(ending.messages().cell()) : ending.report();
+        desk.attempts().probed(host, localFault ? Outcome.LOCAL_FAULT : ending.outcome(), report);
+    }
+
+    private void tellAttempt(Ending ending, boolean moot, boolean calledOff) {
+        Outcome outcome = localFault ? Outcome.LOCAL_FAULT : ending.outcome();
+        if (moot || calledOff && (outcome == Outcome.UNREACHABLE || outcome == Outcome.LOCAL_FAULT)) {
+            outcome = Outcome.MOOT;
+        } else if (calledOff && outcome == Outcome.RESET) {
+            outcome = Outcome.CANCELLED;
+        }
+        desk.attempts().ended(submission, outcome, ending.word(), ending.report(), ending.messages());
+    }
+
+    private Ending exchange() {
+        if (submission == null) {
+            begun = true;
+            return line.send(Outbox.query(lines.probeQuery())) ? line.receive(until)
+                    : Ending.early(Reach.PART_WRITTEN);
+        }
+        long began = desk.now();
+        long millis = Math.max(1, (until - System.nanoTime()) / 1_000_000);
+        Outbox query = Outbox.query(statement.waiting(millis));
+        begun = true;
+        if (!line.send(query)) {
+            return Ending.early(Reach.PART_WRITTEN);
+        }
+        desk.attempts().sent(submission, began, millis);
+        return line.receive(until);
+    }
+
+    /** Gets an idle connection that still stands, or makes one; false when there is none in time. */
+    private boolean connect() {
+        InetSocketAddress address = desk.address(host);
+        while (address != null) {
+            Line next = lines.idle().take(host, System.nanoTime() - desk.keepIdle());
+            boolean fresh = next == null;
+            if (fresh) {
+                try {
+                    next = lines.make(address, until);
+                } catch (IOException e) {
+                    return localFault();
+                }
+                if (next == null) {
+                    return false;
+                }
+            }
+            synchronized (this) {
+                line = next;
+                if (cancelled) {
+                    return false;
+                }
+            }
+            if (fresh) {
+                Line.Opening opening = next.open(Math.min(until, System.nanoTime() + lines.dialNanos()));
+                return opening == Line.Opening.LOCAL_FAULT ? localFault() : opening == Line.Opening.OPEN;
+            }
+            if (next.address.equals(address) && next.alive()) {
+                return true;
+            }
+            lines.idle().close(next);
+        }
+        return false;
+    }
+
+    /** This machine has no connection to give now: false. */
+    private boolean localFault() {
+        localFault = true;
+        desk.monitor().counters().add("network", NetworkFault.CONNECT);
+        return false;
+    }
+
+    Submission submission() {
+        return submission;
+    }
+
+    /** The nanoTime by which it has to be over. */
+    long until() {
+        return until;
+    }
+
+    /** Stops it: its connection is closed, as what comes on it late is nobody's. */
+    synchronized void cancel() {
+        cancelled = true;
+        if (line != null) {
+            line.close();
+        }
+    }
+
+    private synchronized boolean finish(boolean reusable) {
+        if (line != null) {
+            if (reusable && !cancelled) {
+                lines.idle().giveBack(host, line);
+            } else {
+                lines.idle().close(line);
+            }
+            line = null;
+        }
+        return cancelled;
+    }
+}
--- a/src/main/java/beaconladder/serve/Line.java
+++ b/src/main/java/beaconladder/serve/Line.java
@@ -8,8 +8,11 @@
 import beaconladder.pg.Room;
 import beaconladder.serve.Ending.Reach;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.Set;
@@ -47,15 +50,29 @@
         this.channel = null;
     }
 
-    /** Connects and greets; false when the host did not take the connection by then (a nanoTime). */
-    boolean open(long until) {
+    /** What became of a connection that was to be opened. */
+    enum Opening { OPEN, HOST_FAILED, LOCAL_FAULT }
+
+    /** Connects and greets; the host fails when it did not take the connection by then (a nanoTime). */
+    Opening open(long until) {
+        long left = (until - System.nanoTime()) / 1_000_000;
+        if (left <= 0) {
+            return Opening.HOST_FAILED;
+        }
         try {
-            long left = (until - System.nanoTime()) / 1_000_000;
-            if (left <= 0) {
-                return false;
-            }
             socket.setTcpNoDelay(true);
             socket.connect(address, (int) Math.min(left, Integer.MAX_VALUE));
+        } catch (ConnectException | NoRouteToHostException | SocketTimeoutException e) {
+            return Opening.HOST_FAILED;
+        } catch (IOException e) {
+            // No port, no buffer, no route out: the host was never asked.
+            return Opening.LOCAL_FAULT;
+        }
+        return greet(until) ? Opening.OPEN : Opening.HOST_FAILED;
+    }
+
+    private boolean greet(long until) {
+        try {
             in = new Inbox(socket, room);
             write(Outbox.startup("app", "shop"));
             while (true) {
--- a/src/test/java/beaconladder/LogicTest.java
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -228,9 +228,23 @@
                 9 end 1@a miss
                 9 probe c
                 9 probe a
+                5 ask 1 write
+                5   send 1 to a
+                9 end 1@a local_fault
                 """);
     }
 
+    /** The router's own machine gave no connection: nothing speaks against the host, and it is tried again shortly. */
+    @Test
+    void whatNeverLeftThisMachineIsSentAgainAfterARestAndCountsAsNoAttempt() {
+        Script s = Script.warm().tick(5).ask(1, WRITE, 0, 900);
+        for (int i = 0; i < 20; i++) {
+            s.tick(9 + 20 * i).end(1, Outcome.LOCAL_FAULT);
+        }
+        s.quiet().tick(408).tick(409);
+        assertThat(s.trace()).isEqualTo("409   send 1 to a\n");
+    }
+
     @Test
     void aReferencedTxnIsRepeatedOnlyInsideTheMemoryOfItsGroup() {
         Script s = Script.warm().ask(1, REFERENCED, 0, 2000).tick(100).end(1, Outcome.ERROR).tick(350)
