--- a/src/main/java/beaconladder/serve/HostCall.java
+++ b/src/main/java/beaconladder/serve/HostCall.java
@@ -133,11 +133,17 @@
             if (next.address.equals(address) && next.alive()) {
                 return true;
             }
-            lines.idle().close(next);
+            drop();
         }
         return false;
     }
 
+    /** Closes what is of no use; it is no longer this call's then. */
+    private synchronized void drop() {
+        lines.idle().close(line);
+        line = null;
+    }
+
     /** This machine has no connection to give now: false. */
     private boolean localFault() {
         localFault = true;
