--- /dev/null
+++ b/src/test/java/beaconladder/serve/ClockIT.java
@@ -0,0 +1,85 @@
+package beaconladder.serve;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beaconladder.lab.Caller;
+import beaconladder.lab.soak.FaultPlan;
+import beaconladder.lab.soak.FaultShim;
+import org.junit.jupiter.api.Test;
+
+/** The wall clock of a router is wrong, or is stepped; the monotonic one runs on, and hosts tell positions by the true time. */
+class ClockIT extends ServedProgram {
+    private static final long HOUR = 3_600_000_000_000L;
+    private static final int LOOKS = 40;
+
+    private FaultPlan plan;
+
+    private void start(long offset) throws Exception {
+        plan = new FaultPlan(folder.resolve("plan"));
+        plan.stepWallClock(offset);
+        int port = Program.freePort();
+        router = keep(new Program(folder, config(port), port, "export LD_PRELOAD="
+                + FaultShim.build(folder).library() + " FAULT_SHIM_PLAN=" + plan.file() + "; ")).ready();
+    }
+
+    private static String fresh(String id) {
+        return read(id, 1_500).replace("c=any", "c=fresh");
+    }
+
+    /** Reads within a bound of 500 ms, and writes, which tell the time as well. */
+    private void ask(Caller c, String name, int count) throws InterruptedException {
+        for (int i = 0; i < count; i++) {
+            assertThat(ask(c, fresh(name + i))).as(name + i).startsWith("T D:");
+            assertThat(ask(c, write(name + "w" + i, 1_500))).as(name + "w" + i).startsWith("T D:");
+            Thread.sleep(20);
+        }
+    }
+
+    /** Seen from outside: twelve stale reads on a short day. */
+    @Test
+    void aClockThatWasBehindAtTheStartAndIsPutRightMakesNoReadStale() throws Exception {
+        start(-HOUR);
+        Caller c = caller();
+        for (int i = 0; i < 5; i++) {
+            ask(c, fresh("behind" + i));
+            ask(c, write("behindw" + i, 1_500));
+        }
+        plan.stepWallClock(HOUR);
+        b.stoppedAt = System.currentTimeMillis() - 2_000;
+        b.queries.clear();
+        for (int i = 0; i < LOOKS / 4; i++) {
+            ask(c, fresh("right" + i));
+            ask(c, write("rightw" + i, 1_500));
+        }
+        assertThat(b.queries()).as("reads with a bound of 500 ms at a replica 2 s behind")
+                .noneMatch(query -> query.contains("c=fresh"));
+    }
+
+    @Test
+    void aClockThatIsWrongFromTheStartKeepsReplicasInUse() throws Exception {
+        for (long offset : new long[] {-HOUR, HOUR}) {
+            start(offset);
+            Caller c = caller();
+            ask(c, "first" + offset, LOOKS / 2);
+            b.queries.clear();
+            ask(c, "then" + offset, LOOKS / 2);
+            assertThat(b.queries().stream().filter(query -> query.contains("c=fresh")).count())
+                    .as("bounded reads of " + LOOKS / 2 + " at the replica, off by " + offset)
+                    .isGreaterThan(LOOKS / 4);
+        }
+    }
+
+    @Test
+    void aClockThatIsSteppedWhileItRunsChangesNothing() throws Exception {
+        start(0);
+        Caller c = caller();
+        ask(c, "first", 5);
+        for (long step : new long[] {-HOUR, 2 * HOUR, -HOUR - 5_000_000_000L}) {
+            plan.stepWallClock(step);
+            b.queries.clear();
+            ask(c, "step" + step, LOOKS / 4);
+            assertThat(b.queries().stream().filter(query -> query.contains("c=fresh")).count())
+                    .as("bounded reads at the replica after a step of " + step).isGreaterThan(LOOKS / 8);
+        }
+    }
+}
