--- /dev/null
+++ b/src/main/java/beaconladder/ClusterClock.java
@@ -0,0 +1,119 @@
+package beaconladder;
+
+import static beaconladder.fleet.Traffic.MS;
+
+import beaconladder.fleet.Host;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What time it is by the clock that hosts stamp positions and starts with. The router's own time ({@code now}) is
+ * the wall clock as it stood at the start, moved on by the monotonic clock: it never steps, but it is wrong for
+ * good where the wall was wrong then. Hosts tell by how much:
+ *
+ * <p>A position that was heard at {@code now} has been reached, so the hosts' clock shows it at the least. Too late
+ * a time is safe for a bound, too early a one makes reads stale, so that two hosts that agree are enough to move it
+ * forward; a position ahead of it is believed only then, as an answer may be spoilt. A once-only write that was
+ * committed after it was sent gives the other side: its commit is no earlier than the send. It is moved back only by
+ * several of them in a row, and stays ahead of what they allow.
+ */
+final class ClusterClock {
+    /** Clocks read in whole milliseconds by two processes; nothing applied can lie further ahead. */
+    private static final long TOLERANCE = 20 * MS;
+    /** Replicas lag, so what several hosts show differs by that. */
+    private static final long AGREEMENT = 5_000 * MS;
+    private static final long EVIDENCE_AGE = 10_000 * MS;
+    private static final long PENDING_AGE = 2_000 * MS;
+    /** Wall clocks are off by an hour where a zone is set wrong; what lies beyond two is no time. */
+    private static final long PLAUSIBLE = 7_200_000 * MS;
+    /** Of one host so many positions ahead in a row count; a spoilt answer comes alone. */
+    private static final int REPORTS = 2;
+    /** Where no second host is heard at all, so many do. */
+    private static final int REPORTS_ALONE = 6;
+    /** It is moved back for nothing less: the time that a write takes lies within it. */
+    private static final long LEAST_BACK = 250 * MS;
+    private static final int COMMITS = 6;
+
+    /** Positions of one host that lay ahead, in a row. */
+    private record Ahead(int reports, long by, long at) {
+    }
+
+    private final Map<Host, Ahead> ahead = new HashMap<>();
+    private long offset;
+    /** Commits in a row from before their send, and the least that all of them were before it. */
+    private int earlyCommits;
+    private long earliest = Long.MAX_VALUE;
+    private Host earlyHost;
+    private boolean severalHosts;
+
+    /** The time by the hosts' clock at this moment of the router's. */
+    long at(long now) {
+        return now + offset;
+    }
+
+    /**
+     * The latest that the hosts' clock may show at this moment, as far as any host has just said: for bounds, since
+     * a target that is too late makes no read stale, and one host's word may be the first of several.
+     */
+    long latest(long now) {
+        long by = 0;
+        for (Ahead each : ahead.values()) {
+            by = now - each.at <= PENDING_AGE && each.by <= PLAUSIBLE ? Math.max(by, each.by) : by;
+        }
+        return at(now) + by;
+    }
+
+    /** The moment of the router's clock at which the hosts' shows this. */
+    long moment(long hostTime) {
+        return hostTime - offset;
+    }
+
+    /** Takes in what a host said at this moment that it has reached; whether that can be. */
+    boolean believes(Host host, long position, long now) {
+        long by = position - at(now);
+        if (by <= TOLERANCE) {
+            ahead.remove(host);
+            return true;
+        }
+        if (by > PLAUSIBLE) {
+            return false;
+        }
+        Ahead before = ahead.get(host);
+        boolean row = before != null && Math.abs(by - before.by) <= AGREEMENT && now - before.at <= EVIDENCE_AGE;
+        Ahead own = new Ahead(row ? before.reports + 1 : 1, by, now);
+        ahead.put(host, own);
+        ahead.values().removeIf(each -> now - each.at > EVIDENCE_AGE);
+        List<Ahead> agreeing = ahead.values().stream()
+                .filter(each -> each.reports >= REPORTS && Math.abs(each.by - by) <= AGREEMENT).toList();
+        boolean alone = ahead.size() == 1 && own.reports >= REPORTS_ALONE;
+        if (own.reports < REPORTS || agreeing.size() < 2 && !alone) {
+            return false;
+        }
+        // Each has reached what it says: the one furthest on lags least.
+        offset += agreeing.stream().mapToLong(Ahead::by).max().orElse(by);
+        ahead.clear();
+        return true;
+    }
+
+    /** A once-only write that was sent at this moment has committed at this position. */
+    void committed(Host host, long position, long sent) {
+        long early = at(sent) - position;
+        if (early <= LEAST_BACK) {
+            earlyCommits = 0;
+            earliest = Long.MAX_VALUE;
+            earlyHost = null;
+            severalHosts = false;
+            return;
+        }
+        severalHosts |= earlyHost != null && earlyHost != host;
+        earlyHost = host;
+        earliest = Math.min(earliest, early);
+        earlyCommits++;
+        if (earlyCommits >= (severalHosts ? COMMITS : 2 * COMMITS)) {
+            offset -= earliest;
+            earlyCommits = 0;
+            earliest = Long.MAX_VALUE;
+        }
+    }
+}
--- a/src/main/java/beaconladder/ColdRamp.java
+++ b/src/main/java/beaconladder/ColdRamp.java
@@ -10,7 +10,7 @@
 import java.util.SplittableRandom;
 
 /** What a host that has just started may be sent, over all routers. */
-record ColdRamp(Traffic traffic, SplittableRandom chance) {
+record ColdRamp(Traffic traffic, ClusterClock clock, SplittableRandom chance) {
     /**
      * Rule 4: a cold host is sent to on tickets alone. Each txn that comes in for its group draws one with
      * the chance that a warm member bears it, times the host's present share: what a warm member bears is
@@ -63,7 +63,7 @@
         double part = (bore.sumSince(since) + 1.0) / (bore.since(since) + 1) / (warm > 0 ? warm : ready);
         double least = traffic.number("rules.cold_share", 0);
         double share = least
-                + (1 - least) * Math.max(0, now - host.launched) / traffic.micros("rules.warm_within_us");
+                + (1 - least) * Math.max(0, clock.at(now) - host.launched) / traffic.micros("rules.warm_within_us");
         // Two fifths of the stated multiple leave room for chance and for tickets of two windows.
         double safe = Math.min(1, 0.4 * traffic.number("rules.fall_multiple", 2));
         if (chance.nextDouble() < each * safe * share * part) {
@@ -72,7 +72,7 @@
     }
 
     boolean cold(Host host, long now) {
-        return host.launched > 0 && now < host.launched + traffic.micros("rules.warm_within_us");
+        return host.launched > 0 && clock.at(now) < host.launched + traffic.micros("rules.warm_within_us");
     }
 
     boolean allows(Host host, long now) {
--- a/src/main/java/beaconladder/HostRecord.java
+++ b/src/main/java/beaconladder/HostRecord.java
@@ -12,11 +12,21 @@
 import beaconladder.fleet.Submission;
 import beaconladder.fleet.Traffic;
 import beaconladder.fleet.Txn;
+import beaconladder.fleet.TxnType.Effect;
 import beaconladder.fleet.TxnType.Read;
 import java.util.Set;
 
 /** What is known of positions, roles and states. */
-record HostRecord(Traffic traffic, Health health, Targets targets, Agenda agenda, Set<Host> idle) {
+record HostRecord(Traffic traffic, ClusterClock clock, Health health, Targets targets, Agenda agenda,
+        Set<Host> idle) {
+    /** An answer without a position that can be; a report with one field that can't be says nothing at all. */
+    private Word believed(Host host, Word word, boolean direct, long now) {
+        if (word.position() == Word.NONE || clock.believes(host, word.position(), now)) {
+            return word;
+        }
+        return direct ? new Word(word.role(), Word.NONE, word.holds()) : Word.SILENT;
+    }
+
     private void hear(Host host, Word word, boolean direct, long now) {
         Group group = host.group;
         if (word.position() != Word.NONE || word.holds() >= 0) {
@@ -24,13 +34,13 @@
             host.holds = word.holds() >= 0 ? word.holds() : host.holds;
         }
         if (word.position() != Word.NONE && (direct || word.position() > host.position)) {
-            host.lag = now - word.position();
+            host.lag = clock.at(now) - word.position();
         }
         if (word.position() > host.position) {
             host.position = word.position();
             agenda.change(group);
         }
-        long stamp = word.position() == Word.NONE ? now : word.position();
+        long stamp = word.position() == Word.NONE ? clock.at(now) : word.position();
         // A report is older than the answer that it came with: what that denied it does not bring back.
         host.replicaAt = direct && word.role() == Role.REPLICA ? stamp : host.replicaAt;
         if (word.role() == Role.PRIMARY && stamp >= group.primaryAt && stamp > host.replicaAt + MS) {
@@ -43,7 +53,8 @@
         }
     }
 
-    void probed(Host host, Outcome outcome, Word report, long now) {
+    void probed(Host host, Outcome outcome, Word said, long now) {
+        Word report = believed(host, said, false, now);
         host.probeOut = false;
         agenda.change(host.group);
         if (outcome == Outcome.MOOT || outcome == Outcome.LOCAL_FAULT) {
@@ -60,7 +71,7 @@
             hear(host, report, false, now);
             host.saidAt = now;
             if (report.role() == Role.REPLICA && report.position() != Word.NONE) {
-                traffic.stale.add(now - report.position(), 0, now);
+                traffic.stale.add(clock.at(now) - report.position(), 0, now);
             }
         } else {
             host.ends.add(0, 0, now);
@@ -114,8 +125,10 @@
     }
 
     /** A submission has ended: what that tells of its host, and of the writes of its session. */
-    void ended(Submission s, Outcome outcome, Word answer, Word report, long now) {
+    void ended(Submission s, Outcome outcome, Word said, Word reported, long now) {
         Host host = s.host;
+        Word answer = believed(host, said, true, now);
+        Word report = believed(host, reported, false, now);
         s.ended = true;
         s.neverRan = outcome.provesNotRun();
         host.out.remove(s);
@@ -123,7 +136,7 @@
         if (host.out.isEmpty() && host.times.since(now - 10_000 * MS) < 3) {
             idle.add(host);
         }
-        host.unheardAt = outcome.fromHost() || s.neverRan ? host.unheardAt : now;
+        host.unheardAt = outcome.fromHost() || s.neverRan ? host.unheardAt : clock.at(now);
         if (outcome.fromHost()) {
             host.met = true;
             host.lastHeard = now;
@@ -165,16 +178,21 @@
             }
             host.marks.add(well, 0, now);
         }
+        Txn txn = s.txn;
+        boolean dated = outcome == Outcome.COMMITTED && answer.position() != Word.NONE;
+        // The commit of a referenced write may be that of an earlier try, before it was sent here.
+        if (dated && txn.type.read() == Read.WRITE && txn.type.effect() == Effect.ONCE_ONLY) {
+            clock.committed(host, answer.position(), s.sent);
+        }
         hear(host, answer, true, now);
         hear(host, report, false, now);
-        Txn txn = s.txn;
         if (outcome == Outcome.MISS && txn.type.read() == Read.WRITE && host.group.primary == host) {
             host.group.lose(now);
         }
         if (txn.type.read() == Read.WRITE && !s.neverRan) {
             // Without its answer it may have committed up to now; later ones can't reach this router.
             boolean told = outcome == Outcome.COMMITTED && answer.position() != Word.NONE;
-            targets.remember(txn, told ? answer.position() : now);
+            targets.remember(txn, told ? answer.position() : clock.latest(now));
         }
     }
 }
--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -58,15 +58,16 @@
         SplittableRandom chance = new SplittableRandom(seed);
         traffic = new Traffic(start);
         health = new Health(traffic, chance);
-        ramp = new ColdRamp(traffic, chance);
+        ClusterClock clock = new ClusterClock();
+        ramp = new ColdRamp(traffic, clock, chance);
         times = new Times(traffic, health);
-        targets = new Targets(traffic, ramp, new LinkedHashMap<>(64, 0.75f, true));
+        targets = new Targets(traffic, clock, ramp, new LinkedHashMap<>(64, 0.75f, true));
         worth = new Worth(traffic);
         ends = new Ends(traffic);
         HostRoom room = new HostRoom(traffic, health, times);
         choice = new Choice(traffic, health, ramp, times, room, targets, worth, chance);
-        probing = new Probing(traffic, health, targets, choice, worth, agenda, chance);
-        record = new HostRecord(traffic, health, targets, agenda, idle);
+        probing = new Probing(traffic, clock, health, targets, choice, worth, agenda, chance);
+        record = new HostRecord(traffic, clock, health, targets, agenda, idle);
         sends = new SendGuard(repeats, targets);
     }
 
--- a/src/main/java/beaconladder/Targets.java
+++ b/src/main/java/beaconladder/Targets.java
@@ -11,7 +11,7 @@
 import java.util.LinkedHashMap;
 
 /** The log position that a read needs, and who is known to have it. */
-record Targets(Traffic traffic, ColdRamp ramp, LinkedHashMap<Long, Session> sessions) {
+record Targets(Traffic traffic, ClusterClock clock, ColdRamp ramp, LinkedHashMap<Long, Session> sessions) {
     /** Half of the 100 ms after which an answer counts as known, arrived or not; the rest is for the way. */
     private static final long KNOWN = 50 * MS;
 
@@ -29,7 +29,7 @@
     /** The position that a replica must have reached now. Rule 5: a bound is judged at the send. */
     long target(Txn txn, long now) {
         return switch (txn.type.read()) {
-            case BOUNDED -> Math.max(txn.floor, now - txn.type.bound());
+            case BOUNDED -> Math.max(txn.floor, clock.latest(now) - txn.type.bound());
             case SESSION -> Math.max(txn.floor, Math.max(txn.target, sessionTarget(txn, now)));
             default -> txn.floor;
         };
@@ -47,7 +47,7 @@
         boolean answered = session != null && session.writes.stream().flatMap(w -> w.submissions.stream())
                 .anyMatch(s -> !s.ended && s.sent < now - KNOWN);
         long commit = session != null ? session.commit : txn.group.forgotten;
-        return answered ? Math.max(commit, now - KNOWN) : commit;
+        return answered ? Math.max(commit, clock.latest(now) - KNOWN) : commit;
     }
 
     /** It goes out now. */
--- a/src/main/java/beaconladder/serve/Ending.java
+++ b/src/main/java/beaconladder/serve/Ending.java
@@ -22,8 +22,6 @@
 record Ending(Reach reach, String code, boolean row, boolean timedOut, Role role, long position, String load,
         Outbox messages, boolean reusable) {
 
-    /** Clocks read in whole milliseconds by two processes; nothing applied can lie further ahead. */
-    private static final long AHEAD_MILLIS = 20;
     /** The code of an answer that gives none; for the module it is an error of a host that can be reached. */
     private static final String SPOILT = "";
 
@@ -88,7 +86,7 @@
             boolean read = figure >= 0;
             switch (pair.substring(0, Math.max(0, equals)).strip()) {
                 case "x0" -> {
-                    position = position(value, 9);
+                    position = nanos(value, 9);
                     read = position != Word.NONE;
                 }
                 case "x1" -> role = figure >= 0.5 ? Role.PRIMARY : Role.REPLICA;
@@ -112,12 +110,6 @@
         }
     }
 
-    /** A position that a host can have reached by now; all machines read one clock, give or take. */
-    static long position(String text, int power) {
-        long value = nanos(text, power);
-        return value > (System.currentTimeMillis() + AHEAD_MILLIS) * 1_000_000 ? Word.NONE : value;
-    }
-
     /** A decimal number times a power of ten, rounded down and exact; NONE when it is no position. */
     static long nanos(String text, int power) {
         long value = Decimal.read(text, power);
--- a/src/main/java/beaconladder/serve/Line.java
+++ b/src/main/java/beaconladder/serve/Line.java
@@ -190,7 +190,7 @@
                     switch (in.text(in.at())) {
                         case "node_role" -> role = value.equals("leader") ? Role.PRIMARY
                                 : value.equals("follower") ? Role.REPLICA : Role.UNKNOWN;
-                        case "replay_position" -> position = Ending.position(value, 6);
+                        case "replay_position" -> position = Ending.nanos(value, 6);
                         case "server_load" -> load = value;
                         default -> { }
                     }
--- /dev/null
+++ b/src/test/java/beaconladder/ClusterClockTest.java
@@ -0,0 +1,71 @@
+package beaconladder;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beaconladder.fleet.Group;
+import beaconladder.fleet.Host;
+import org.junit.jupiter.api.Test;
+
+/** What a router takes for the hosts' time, from what they say of themselves. */
+class ClusterClockTest {
+    private static final long MS = 1_000_000L;
+    private static final long NOW = 100_000_000 * MS;
+    private static final long HOUR = 3_600_000 * MS;
+
+    private final Group group = new Group(1);
+    private final Host a = new Host(1, group, 0);
+    private final Host b = new Host(2, group, 0);
+    private final ClusterClock clock = new ClusterClock();
+
+    @Test
+    void aPositionAheadIsBelievedOnceTwoHostsShowItTwice() {
+        assertThat(clock.believes(a, NOW + 20 * MS, NOW)).isTrue();
+        assertThat(clock.believes(a, NOW + HOUR, NOW)).isFalse();
+        assertThat(clock.believes(b, NOW + HOUR - 3_000 * MS, NOW)).isFalse();
+        assertThat(clock.believes(a, NOW + HOUR, NOW)).isFalse();
+        assertThat(clock.at(NOW)).isEqualTo(NOW);
+        assertThat(clock.believes(b, NOW + HOUR - 3_000 * MS, NOW)).isTrue();
+        assertThat(clock.at(NOW)).as("as the host furthest on has it").isEqualTo(NOW + HOUR);
+        assertThat(clock.moment(NOW + HOUR)).isEqualTo(NOW);
+    }
+
+    /** A bound that is judged too late makes no read stale. */
+    @Test
+    void whatOneHostShowsCountsForBoundsAtOnce() {
+        clock.believes(a, NOW + 5_000 * MS, NOW);
+        assertThat(clock.latest(NOW)).isEqualTo(NOW + 5_000 * MS);
+        assertThat(clock.latest(NOW + 2_001 * MS)).isEqualTo(NOW + 2_001 * MS);
+        clock.believes(a, NOW + 9_000 * MS, NOW + 9_000 * MS);
+        assertThat(clock.latest(NOW + 9_000 * MS)).isEqualTo(NOW + 9_000 * MS);
+    }
+
+    @Test
+    void spoiltPositionsMoveNothing() {
+        for (int i = 0; i < 40; i++) {
+            long now = NOW + 100 * i * MS;
+            assertThat(clock.believes(i % 2 == 0 ? a : b, now + (1 + i * 7L % 40) * 60_000 * MS, now)).isFalse();
+            assertThat(clock.believes(i % 2 == 0 ? b : a, Long.MAX_VALUE, now)).isFalse();
+            assertThat(clock.believes(a, now, now)).isTrue();
+        }
+        assertThat(clock.at(NOW)).isEqualTo(NOW);
+    }
+
+    @Test
+    void commitsFromBeforeTheirSendMoveItBackAndNotTooFar() {
+        for (int i = 0; i < 5; i++) {
+            clock.committed(i % 2 == 0 ? a : b, NOW - HOUR + 30 * MS, NOW);
+        }
+        assertThat(clock.at(NOW)).isEqualTo(NOW);
+        clock.committed(b, NOW - HOUR + 400 * MS, NOW);
+        assertThat(clock.at(NOW)).as("no commit lies after its send by it").isEqualTo(NOW - HOUR + 400 * MS);
+    }
+
+    @Test
+    void aSlowWriteOrOneEarlyCommitMovesNothing() {
+        for (int i = 0; i < 30; i++) {
+            clock.committed(a, i % 4 == 0 ? NOW + 10 * MS : NOW - 1_000 * MS, NOW);
+            clock.committed(b, NOW - 200 * MS, NOW);
+        }
+        assertThat(clock.at(NOW)).isEqualTo(NOW);
+    }
+}
--- a/src/test/java/beaconladder/serve/ClockIT.java
+++ b/src/test/java/beaconladder/serve/ClockIT.java
@@ -45,7 +45,8 @@
             ask(c, write("behindw" + i, 1_500));
         }
         plan.stepWallClock(HOUR);
-        b.stoppedAt = System.currentTimeMillis() - 2_000;
+        b.stoppedAt = System.currentTimeMillis();
+        Thread.sleep(2_000);
         b.queries.clear();
         for (int i = 0; i < LOOKS / 4; i++) {
             ask(c, fresh("right" + i));
@@ -60,6 +61,8 @@
         for (long offset : new long[] {-HOUR, HOUR}) {
             start(offset);
             Caller c = caller();
+            // A primary that was never met gets no read; that is another matter.
+            ask(c, write("meet" + offset, 1_500));
             ask(c, "first" + offset, LOOKS / 2);
             b.queries.clear();
             ask(c, "then" + offset, LOOKS / 2);
