--- a/src/main/java/beaconladder/feed/Disk.java
+++ b/src/main/java/beaconladder/feed/Disk.java
@@ -42,10 +42,11 @@
 
     /** Keeps it in the place of the one before; it is there once this returns. */
     void keep(State state, long heard) throws IOException {
-        kept = new Kept(state, heard);
+        Kept next = new Kept(state, heard);
         if (records != null) {
-            records.replace(List.of(FeedText.text(kept).getBytes(StandardCharsets.UTF_8)));
+            records.replace(List.of(FeedText.text(next).getBytes(StandardCharsets.UTF_8)));
         }
+        kept = next;
     }
 
     @Override
--- a/src/main/java/beaconladder/store/Records.java
+++ b/src/main/java/beaconladder/store/Records.java
@@ -21,14 +21,16 @@
     private static final String FILE = "records.mv";
     private static final int HASH = Long.BYTES;
 
-    private final MVStore store;
-    private final MVMap<Long, byte[]> map;
+    private final Path file;
+    /** Null between a write that failed and the next that finds the file in order. */
+    private MVStore store;
+    private MVMap<Long, byte[]> map;
     private final List<byte[]> found = new ArrayList<>();
     private long next;
+    private boolean closed;
 
-    private Records(MVStore store) {
-        this.store = store;
-        this.map = store.openMap("records");
+    private Records(Path file) {
+        this.file = file;
     }
 
     /**
@@ -40,25 +42,43 @@
      */
     public static Records open(Path folder) throws IOException {
         Files.createDirectories(folder);
-        Path file = folder.resolve(FILE);
-        MVStore store;
+        Records records = new Records(folder.resolve(FILE));
+        records.openStore();
         try {
-            store = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().open();
-        } catch (MVStoreException e) {
-            throw new IOException(file + (e.getMessage().contains("locked") ? " is in use by another process"
-                    : " can't be opened: " + e.getMessage()), e);
-        }
-        try {
-            Records records = new Records(store);
             for (Long number : records.map.keyList()) {
-                records.found.add(body(file, number, records.map.get(number)));
+                records.found.add(body(records.file, number, records.map.get(number)));
                 records.next = number + 1;
             }
             return records;
         } catch (IOException | MVStoreException e) {
-            store.closeImmediately();
+            records.abandonStore();
             throw e instanceof IOException fault ? fault
-                    : new IOException(file + " is damaged: " + e.getMessage(), e);
+                    : new IOException(records.file + " is damaged: " + e.getMessage(), e);
+        }
+    }
+
+    private void openStore() throws IOException {
+        MVStore opened = null;
+        try {
+            opened = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().open();
+            map = opened.openMap("records");
+            store = opened;
+        } catch (MVStoreException e) {
+            if (opened != null) {
+                opened.closeImmediately();
+            }
+            throw new IOException(file + (e.getMessage().contains("locked") ? " is in use by another process"
+                    : " can't be opened: " + e.getMessage()), e);
+        }
+    }
+
+    /** Lets go of a store that has met a fault: it has closed itself, and what it holds in memory is void. */
+    private void abandonStore() {
+        MVStore old = store;
+        store = null;
+        map = null;
+        if (old != null) {
+            old.closeImmediately();
         }
     }
 
@@ -77,30 +97,64 @@
         return found;
     }
 
-    /** Writes one record; it is on the disk when this returns. */
+    /** What is to be done to the map before it is committed. */
+    private interface Change {
+        void apply();
+    }
+
+    /**
+     * Writes one record; it is on the disk when this returns. Where it can't be written, it is not there once a later
+     * write has succeeded, and the next call finds out whether the disk is well again.
+     */
     public void append(byte[] record) throws IOException {
-        try {
-            map.put(next++, hashed(record));
-            store.commit();
-            store.sync();
-        } catch (MVStoreException e) {
-            throw new IOException("the record could not be written: " + e.getMessage(), e);
-        }
+        long number = next;
+        commit(() -> map.put(number, hashed(record)), "the record could not be written");
+        next = number + 1;
     }
 
     /**
      * Puts these in the place of all records, at once: after a kill there are the old ones or the new ones.
      */
     public void replace(List<byte[]> records) throws IOException {
-        try {
+        long from = next;
+        commit(() -> {
             map.clear();
-            for (byte[] record : records) {
-                map.put(next++, hashed(record));
+            for (int i = 0; i < records.size(); i++) {
+                map.put(from + i, hashed(records.get(i)));
             }
+        }, "the snapshot could not be written");
+        next = from + records.size();
+    }
+
+    /** A second try, on a store that is opened anew, sees what the first has left and writes over it. */
+    private void commit(Change change, String failure) throws IOException {
+        if (closed) {
+            throw new IOException(file + " is closed");
+        }
+        IOException first = store == null ? null : tryCommit(change, failure);
+        if (store != null && first == null) {
+            return;
+        }
+        try {
+            openStore();
+        } catch (IOException e) {
+            throw first == null ? e : first;
+        }
+        IOException second = tryCommit(change, failure);
+        if (second != null) {
+            throw second;
+        }
+    }
+
+    private IOException tryCommit(Change change, String failure) {
+        try {
+            change.apply();
             store.commit();
             store.sync();
+            return null;
         } catch (MVStoreException e) {
-            throw new IOException("the snapshot could not be written: " + e.getMessage(), e);
+            abandonStore();
+            return new IOException(failure + ": " + e.getMessage(), e);
         }
     }
 
@@ -111,6 +165,9 @@
 
     @Override
     public void close() {
-        store.close();
+        closed = true;
+        if (store != null) {
+            store.close();
+        }
     }
 }
