--- a/src/main/java/beaconladder/roster/Watch.java
+++ b/src/main/java/beaconladder/roster/Watch.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -73,6 +74,7 @@
         if (!before.address().equals(discovery)) {
             http = new HttpGet(discovery);
             before.end();
+            notifyAll();
         }
     }
 
@@ -107,7 +109,7 @@
                     LOG.info("discovery answers again");
                     troubles.clear();
                 }
-                rest(schedule.answered(call, System.nanoTime() - from, version != before));
+                rest(asked, schedule.answered(call, System.nanoTime() - from, version != before));
             } catch (IOException | Json.Fault e) {
                 if (asked != http) {
                     continue;
@@ -120,20 +122,20 @@
                     LOG.warn("discovery: {}; the last list stands", e.getMessage());
                 }
                 if (e instanceof SocketTimeoutException) {
-                    rest(schedule.silent(call));
+                    rest(asked, schedule.silent(call));
                 } else if (e instanceof HttpGet.Status status && status.passing()) {
-                    rest(schedule.refused(call));
+                    rest(asked, schedule.refused(call));
                 } else {
                     // What can't be read, or does not fit what is held, is asked for whole.
                     version = e instanceof ListReader.Unfit || e instanceof Json.Fault
                             || e instanceof HttpGet.Status ? -1 : version;
-                    rest(schedule.failed());
+                    rest(asked, schedule.failed());
                 }
             } catch (RuntimeException | Error e) {
                 LOG.error("discovery: the last list stands", e);
                 version = -1;
                 goesOn = false;
-                rest(schedule.failed());
+                rest(asked, schedule.failed());
             }
         }
         http.end();
@@ -144,13 +146,19 @@
         return !answered && System.nanoTime() - madeAt < CallSchedule.START_MILLIS * 1_000_000L;
     }
 
-    public void stop() {
+    public synchronized void stop() {
         stopped = true;
+        notifyAll();
     }
 
-    private void rest(int millis) {
+    /** Rests so long, unless there is another address to ask than this one. */
+    private synchronized void rest(HttpGet asked, int millis) {
+        long until = System.nanoTime() + millis * 1_000_000L;
         try {
-            Thread.sleep(millis);
+            for (long left = until - System.nanoTime(); left > 0 && !stopped && asked == http;
+                    left = until - System.nanoTime()) {
+                TimeUnit.NANOSECONDS.timedWait(this, left);
+            }
         } catch (InterruptedException e) {
             stopped = true;
         }
