--- a/src/main/java/beaconladder/lab/soak/Trouble.java
+++ b/src/main/java/beaconladder/lab/soak/Trouble.java
@@ -12,6 +12,8 @@
     PAUSE,
     /** The wall clock of a router is stepped by seconds or an hour, either way, and stays there. */
     CLOCK_STEP,
+    /** A router is killed, starts with a wall clock that is off by as much, and has it put right later. */
+    CLOCK_WRONG_AT_START,
     /** accept fails: ECONNABORTED, ENFILE, EMFILE, ENOBUFS, EINTR. */
     ACCEPT_FAILS,
     /** connect or socket fails: ENOBUFS, EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT. */
--- a/src/main/java/beaconladder/lab/soak/Troubles.java
+++ b/src/main/java/beaconladder/lab/soak/Troubles.java
@@ -38,6 +38,7 @@
             case RELOAD -> reload(chance);
             case PAUSE -> pause(millis, chance);
             case CLOCK_STEP -> stepClock(chance);
+            case CLOCK_WRONG_AT_START -> startWithWrongClock(chance);
             case ACCEPT_FAILS, CONNECT_FAILS, THREADS_FAIL, SHORT_IO -> systemCalls(trouble, chance);
             case DISCOVERY_SILENT, DISCOVERY_BREAKS -> discovery(trouble, chance);
             case HOST_DRAINS, HOST_CRASHES -> replace(trouble == Trouble.HOST_CRASHES, chance);
@@ -116,12 +117,32 @@
         return () -> Tasks.join(task, 10_000);
     }
 
-    private End stepClock(SplittableRandom chance) {
+    private static long step(SplittableRandom chance) {
         long size = chance.nextBoolean() ? 3_600 * SECOND : (1 + chance.nextInt(30)) * SECOND;
-        anyRouter(chance).plan.stepWallClock(chance.nextBoolean() ? size : -size);
+        return chance.nextBoolean() ? size : -size;
+    }
+
+    private End stepClock(SplittableRandom chance) {
+        anyRouter(chance).plan.stepWallClock(step(chance));
         return NOTHING;
     }
 
+    private End startWithWrongClock(SplittableRandom chance) throws IOException {
+        SoakRouter router = anyRouter(chance);
+        long step = step(chance);
+        if (!router.take()) {
+            return NOTHING;
+        }
+        try {
+            router.kill();
+            router.plan.stepWallClock(step);
+            router.start();
+        } finally {
+            router.give();
+        }
+        return () -> router.plan.stepWallClock(-step);
+    }
+
     private End systemCalls(Trouble trouble, SplittableRandom chance) {
         FaultPlan plan = anyRouter(chance).plan;
         switch (trouble) {
