--- a/src/main/java/beaconladder/lab/soak/Request.java
+++ b/src/main/java/beaconladder/lab/soak/Request.java
@@ -22,6 +22,8 @@
 
     final String id;
     final Kind kind;
+    /** How long its client waits. */
+    final int budgetMillis;
     final int router;
     final int group;
     /** How many queries were written ahead of it at once. */
@@ -32,7 +34,8 @@
     private String code = "";
     private long endedAt;
 
-    Request(String id, Kind kind, int router, int group, int ahead, long sentAt) {
+    Request(String id, Kind kind, int budgetMillis, int router, int group, int ahead, long sentAt) {
+        this.budgetMillis = budgetMillis;
         this.ahead = ahead;
         this.id = id;
         this.kind = kind;
@@ -47,7 +50,7 @@
     }
 
     long deadline() {
-        return sentAt + kind.budgetMillis * 1_000_000L;
+        return sentAt + budgetMillis * 1_000_000L;
     }
 
     synchronized void arrived(Arrival arrival) {
@@ -78,7 +81,7 @@
 
     /** The statement; its row is to hold its id. */
     String statement(long after) {
-        String comment = " /* id=" + id + ",c=" + kind.label + ",t=acme,d=" + kind.budgetMillis + ",cluster="
+        String comment = " /* id=" + id + ",c=" + kind.label + ",t=acme,d=" + budgetMillis + ",cluster="
                 + group + (kind == Kind.SESSION && after > 0 ? ",after=" + after : "") + " */";
         return kind.writes() ? "INSERT INTO items (id, doc) VALUES ('" + id + "', '\\x9f03') RETURNING doc"
                 + comment : "SELECT doc FROM items WHERE id = '" + id + "'" + comment;
--- a/src/main/java/beaconladder/lab/soak/Soak.java
+++ b/src/main/java/beaconladder/lab/soak/Soak.java
@@ -99,7 +99,8 @@
                     .forEach(line -> broken.add("router " + router.number + " logged: " + line));
         }
         List<Request> well = fleet.requests().values().stream().filter(r -> r.sentAt > wellFrom)
-                .filter(r -> r.end() != Request.End.LEFT && r.end() != Request.End.UNREAD).toList();
+                .filter(r -> r.end() != Request.End.LEFT && r.end() != Request.End.UNREAD)
+                .filter(r -> r.budgetMillis == r.kind.budgetMillis).toList();
         long servedWell = well.stream().filter(r -> r.end() == Request.End.SERVED).count();
         if (well.isEmpty() || servedWell < SERVED_AT_END * well.size()) {
             broken.add("after the last trouble only " + servedWell + " of " + well.size() + " were served");
--- a/src/main/java/beaconladder/lab/soak/SoakClients.java
+++ b/src/main/java/beaconladder/lab/soak/SoakClients.java
@@ -24,6 +24,8 @@
     private static final int PATIENCE_MILLIS = 1_500;
     /** Bad clients get their error or their close within this, and some slack of the machine. */
     private static final int BAD_MILLIS = 3_500;
+    /** Some come with less time than an answer takes. */
+    private static final int HURRIED_MILLIS = 60;
     private static final int MOST_AHEAD = 5;
 
     private final List<SoakRouter> routers;
@@ -107,7 +109,9 @@
         Outbox text = new Outbox();
         for (int i = 0; i < count; i++) {
             Kind kind = Kind.values()[chance.nextInt(Kind.values().length)];
-            Request request = new Request("r" + ids.incrementAndGet(), kind, router.number,
+            boolean hurried = chance.nextInt(12) == 0;
+            Request request = new Request("r" + ids.incrementAndGet(), kind,
+                    hurried ? 1 + chance.nextInt(HURRIED_MILLIS) : kind.budgetMillis, router.number,
                     1 + chance.nextInt(Soak.GROUPS), i, System.nanoTime());
             requests.put(request.id, request);
             out.add(request);
