--- a/src/main/java/beaconladder/lab/soak/FaultProxy.java
+++ b/src/main/java/beaconladder/lab/soak/FaultProxy.java
@@ -20,6 +20,8 @@
     volatile int acceptMillis;
     /** Nothing passes: what is open is silent, and new connections never come up. */
     volatile boolean silent;
+    /** The host's process is gone: what is open was reset, and what comes is. */
+    volatile boolean down;
     /** Of a thousand pieces that pass, so many are met by a reset of their connection. */
     volatile int resetsPerMille;
     /** Connections are closed in order after so long without bytes, or 0. */
@@ -30,6 +32,10 @@
         Tasks.spawn(() -> {
             while (true) {
                 Socket in = door.accept();
+                if (down) {
+                    reset(in);
+                    continue;
+                }
                 open.add(in);
                 Tasks.spawn(() -> join(in));
             }
--- a/src/main/java/beaconladder/lab/soak/Request.java
+++ b/src/main/java/beaconladder/lab/soak/Request.java
@@ -20,6 +20,9 @@
             long waitMillis) {
     }
 
+    /** No kind of request waits longer. */
+    private static final long LONGEST_MILLIS = 2_000;
+
     final String id;
     final Kind kind;
     /** How long its client waits. */
@@ -46,7 +49,7 @@
 
     /** How long a query written ahead may have waited for the answer before it, whose time does not count. */
     long waitedAhead() {
-        return ahead * kind.budgetMillis * 1_000_000L;
+        return ahead * LONGEST_MILLIS * 1_000_000L;
     }
 
     long deadline() {
--- a/src/main/java/beaconladder/lab/soak/Soak.java
+++ b/src/main/java/beaconladder/lab/soak/Soak.java
@@ -56,7 +56,7 @@
     /** Plays it with these troubles; whether every rule held. */
     public boolean play(List<Trouble> from) throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("soak");
-        try (SoakFleet fleet = new SoakFleet(count, folder, FaultShim.build(folder))) {
+        try (SoakFleet fleet = new SoakFleet(count, folder, FaultShim.build(folder), chance.split())) {
             fleet.clients().start(CLIENTS_A_ROUTER * count, chance.split());
             for (int i = 0; i < rounds; i++) {
                 round(new Troubles(fleet), from);
--- a/src/main/java/beaconladder/lab/soak/SoakClients.java
+++ b/src/main/java/beaconladder/lab/soak/SoakClients.java
@@ -19,6 +19,8 @@
 
 /** Clients of the soak: usual ones, ones that write ahead, that leave, that rest, and bad ones. */
 final class SoakClients {
+    /** Another soak on this machine may meet a port that was ours. */
+    private static final String PREFIX = "r" + ProcessHandle.current().pid() + "-";
     private static final String GREETING = "R S S S S K Z";
     /** A client counts on its answer for so long behind its time; then it is lost. */
     private static final int PATIENCE_MILLIS = 1_500;
@@ -110,7 +112,7 @@
         for (int i = 0; i < count; i++) {
             Kind kind = Kind.values()[chance.nextInt(Kind.values().length)];
             boolean hurried = chance.nextInt(12) == 0;
-            Request request = new Request("r" + ids.incrementAndGet(), kind,
+            Request request = new Request(PREFIX + ids.incrementAndGet(), kind,
                     hurried ? 1 + chance.nextInt(HURRIED_MILLIS) : kind.budgetMillis, router.number,
                     1 + chance.nextInt(Soak.GROUPS), i, System.nanoTime());
             requests.put(request.id, request);
--- a/src/main/java/beaconladder/lab/soak/SoakFleet.java
+++ b/src/main/java/beaconladder/lab/soak/SoakFleet.java
@@ -4,16 +4,23 @@
 import beaconladder.lab.Programs;
 import beaconladder.lab.Tasks;
 import java.io.IOException;
+import java.net.BindException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Collectors;
 
 /** Routers, hosts, discovery's agents and clients of one soak. */
 final class SoakFleet implements AutoCloseable {
+    private static final int LOWEST_PORT = 12_000;
+    private static final int PORTS = 18_000;
+    private static final int PORT_TRIES = 100;
     private static final int USUAL_MILLIS = 5;
     private static final int USUAL_LAG_MILLIS = 20;
     private static final List<String> TRACED = List.of("-Dorg.slf4j.simpleLogger.log.beaconladder.trace=debug",
@@ -36,7 +43,7 @@
     private long troubledFrom;
 
     /** Stands it up and waits until all routers are ready. */
-    SoakFleet(int count, Path folder, FaultShim shim) throws IOException {
+    SoakFleet(int count, Path folder, FaultShim shim, SplittableRandom chance) throws IOException {
         programs = new Programs(folder);
         for (int i = 0; i < Soak.GROUPS * Soak.MEMBERS; i++) {
             hosts.add(new SoakHost(i, 1 + i / Soak.MEMBERS, i % Soak.MEMBERS == 0, requests));
@@ -48,7 +55,7 @@
             discoveries.add(agent);
         }
         for (int i = 0; i < count; i++) {
-            int port = Programs.freePort();
+            int port = freePort(chance);
             discoveryOf.put(i, i % 2);
             Programs.Program program = programs.program("n" + i, configuration(i, port, count), TRACED, "serve");
             FaultPlan plan = new FaultPlan(folder.resolve("plan" + i));
@@ -62,6 +69,19 @@
         starts.forEach(start -> Tasks.join(start, 40_000));
     }
 
+    /** Below the ports that the system gives to connections: one of those would keep a restarted router from it. */
+    private static int freePort(SplittableRandom chance) throws IOException {
+        for (int i = 0; i < PORT_TRIES; i++) {
+            try (ServerSocket free = new ServerSocket(LOWEST_PORT + chance.nextInt(PORTS), 5,
+                    InetAddress.getLoopbackAddress())) {
+                return free.getLocalPort();
+            } catch (BindException e) {
+                // Another one.
+            }
+        }
+        throw new IOException("no free port");
+    }
+
     private String configuration(int router, int port, int count) {
         return SoakConfiguration.of("n" + router, port,
                 discoveries.get(discoveryOf.get(router)).door.getLocalPort(), count, known());
--- a/src/main/java/beaconladder/lab/soak/Troubles.java
+++ b/src/main/java/beaconladder/lab/soak/Troubles.java
@@ -186,11 +186,11 @@
         }
         if (crash) {
             host.proxy().silent = false;
-            host.crash();
+            host.proxy().down = true;
             host.proxy().resetAll();
             return () -> {
-                host.restart();
                 host.started();
+                host.proxy().down = false;
                 fleet.list(host);
             };
         }
