--- a/src/main/java/beaconladder/ClusterClock.java
+++ b/src/main/java/beaconladder/ClusterClock.java
@@ -8,15 +8,15 @@
 import java.util.Map;
 
 /**
- * What time it is by the clock that hosts stamp positions and starts with. The router's own time ({@code now}) is
- * the wall clock as it stood at the start, moved on by the monotonic clock: it never steps, but it is wrong for
- * good where the wall was wrong then. Hosts tell by how much:
+ * What time it is by the clock that hosts stamp positions and starts with. The router's own time,
+ * {@code now}, is the wall clock as it stood at the start, moved on by the monotonic clock: it never steps, but it
+ * is wrong for good where the wall was wrong then. Hosts tell by how much:
  *
- * <p>A position that was heard at {@code now} has been reached, so the hosts' clock shows it at the least. Too late
- * a time is safe for a bound, too early a one makes reads stale, so that two hosts that agree are enough to move it
- * forward; a position ahead of it is believed only then, as an answer may be spoilt. A once-only write that was
- * committed after it was sent gives the other side: its commit is no earlier than the send. It is moved back only by
- * several of them in a row, and stays ahead of what they allow.
+ * <p>A position that was heard at {@code now} has been reached, so the hosts' clock shows it at the least.
+ * Too late a time is safe for a bound, too early a one makes reads stale, so that two hosts that agree are
+ * enough to move it forward; a position ahead of it is believed only then, as an answer may be spoilt. A
+ * once-only write that was committed after it was sent gives the other side: its commit is no earlier than
+ * the send. It is moved back only by several of them in a row, and stays ahead of what they allow.
  */
 final class ClusterClock {
     /** Clocks read in whole milliseconds by two processes; nothing applied can lie further ahead. */
@@ -53,8 +53,8 @@
     }
 
     /**
-     * The latest that the hosts' clock may show at this moment, as far as any host has just said: for bounds, since
-     * a target that is too late makes no read stale, and one host's word may be the first of several.
+     * The latest that the hosts' clock may show at this moment, as far as any host has just said: for bounds,
+     * since a target that is too late makes no read stale, and one host's word may be the first of several.
      */
     long latest(long now) {
         long by = 0;
@@ -80,7 +80,8 @@
             return false;
         }
         Ahead before = ahead.get(host);
-        boolean row = before != null && Math.abs(by - before.by) <= AGREEMENT && now - before.at <= EVIDENCE_AGE;
+        boolean row = before != null && Math.abs(by - before.by) <= AGREEMENT
+                && now - before.at <= EVIDENCE_AGE;
         Ahead own = new Ahead(row ? before.reports + 1 : 1, by, now);
         ahead.put(host, own);
         ahead.values().removeIf(each -> now - each.at > EVIDENCE_AGE);
--- a/src/main/java/beaconladder/ColdRamp.java
+++ b/src/main/java/beaconladder/ColdRamp.java
@@ -63,7 +63,8 @@
         double part = (bore.sumSince(since) + 1.0) / (bore.since(since) + 1) / (warm > 0 ? warm : ready);
         double least = traffic.number("rules.cold_share", 0);
         double share = least
-                + (1 - least) * Math.max(0, clock.at(now) - host.launched) / traffic.micros("rules.warm_within_us");
+                + (1 - least) * Math.max(0, clock.at(now) - host.launched)
+                / traffic.micros("rules.warm_within_us");
         // Two fifths of the stated multiple leave room for chance and for tickets of two windows.
         double safe = Math.min(1, 0.4 * traffic.number("rules.fall_multiple", 2));
         if (chance.nextDouble() < each * safe * share * part) {
--- a/src/main/java/beaconladder/HostRecord.java
+++ b/src/main/java/beaconladder/HostRecord.java
@@ -19,7 +19,9 @@
 /** What is known of positions, roles and states. */
 record HostRecord(Traffic traffic, ClusterClock clock, Health health, Targets targets, Agenda agenda,
         Set<Host> idle) {
-    /** An answer without a position that can be; a report with one field that can't be says nothing at all. */
+    /**
+     * An answer without a position that can be; a report with one field that can't be says nothing at all.
+     */
     private Word believed(Host host, Word word, boolean direct, long now) {
         if (word.position() == Word.NONE || clock.believes(host, word.position(), now)) {
             return word;
--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -123,7 +123,8 @@
         if (out > 0) {
             return copy(txn, now);
         }
-        Verdict.Reason end = txn.submissions.size() - txn.localFaults >= ends.mostSubmissions(txn) ? Verdict.Reason.ATTEMPTS_USED
+        Verdict.Reason end = txn.submissions.size() - txn.localFaults >= ends.mostSubmissions(txn)
+                ? Verdict.Reason.ATTEMPTS_USED
                 : now >= times.lastUse(txn) ? Verdict.Reason.NO_TIME
                 : times.hopeless(txn, now) ? Verdict.Reason.PRIMARY_LOST : Verdict.Reason.NONE;
         if (end != Verdict.Reason.NONE) {
@@ -216,7 +217,8 @@
         }
         traffic.served(txn, false);
         traffic.fate(txn, false, false, now);
-        return ran == null || txn.type.effect() == Effect.REPEATABLE ? Verdict.decline(0, Verdict.Reason.NOT_ADMITTED)
+        return ran == null || txn.type.effect() == Effect.REPEATABLE
+                ? Verdict.decline(0, Verdict.Reason.NOT_ADMITTED)
                 : Verdict.rollBack(Verdict.Reason.NOT_ADMITTED);
     }
 
--- a/src/main/java/beaconladder/Probing.java
+++ b/src/main/java/beaconladder/Probing.java
@@ -16,7 +16,8 @@
 import java.util.SplittableRandom;
 
 /** Which members are asked for the sake of held txns, and when. */
-record Probing(Traffic traffic, ClusterClock clock, Health health, Targets targets, Choice choice, Worth worth, Agenda agenda,
+record Probing(Traffic traffic, ClusterClock clock, Health health, Targets targets, Choice choice,
+        Worth worth, Agenda agenda,
         SplittableRandom chance) {
     /**
      * Members to ask, each for the sake of a held txn that pays for it: for one that needs the primary the
@@ -72,7 +73,8 @@
         }
         // Before a healthy replica's report can show the session's write there is nothing to learn.
         return txn.type.read() != Read.SESSION || txn.target == UNBOUND || traffic.stale.size() < 4
-                ? txn.arrived : clock.moment(txn.target) + Math.min(Health.YOUNG, traffic.stale.quantile(0.5));
+                ? txn.arrived
+                : clock.moment(txn.target) + Math.min(Health.YOUNG, traffic.stale.quantile(0.5));
     }
 
     private List<Host> candidates(Txn txn, long now) {
--- a/src/main/java/beaconladder/Times.java
+++ b/src/main/java/beaconladder/Times.java
@@ -78,8 +78,8 @@
 
     /**
      * What must not run twice and runs into its time ends as one that may have run, which is worse than a
-     * refusal. So the primary's newest answer counts too, where it is recent: a host that has just become slow
-     * shows in no quantile yet. The answer has to be here by the last moment, not by the expiry.
+     * refusal. So the primary's newest answer counts too, where it is recent: a host that has just become
+     * slow shows in no quantile yet. The answer has to be here by the last moment, not by the expiry.
      */
     private long lastSafeUse(Txn txn) {
         Host primary = txn.group.primary;
--- a/src/main/java/beaconladder/app/Hangups.java
+++ b/src/main/java/beaconladder/app/Hangups.java
@@ -22,7 +22,8 @@
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), release);
             if (before == handler.getField("SIG_IGN").get(null)) {
                 // What is ignored at the start (as under nohup) stays so in this JVM, whatever is asked for.
-                System.err.println("beaconladder: SIGHUP is ignored since the start of this process: no reload");
+                System.err.println("beaconladder: SIGHUP is ignored since the start of this process:"
+                        + " no reload");
             }
         } catch (ReflectiveOperationException e) {
             System.err.println("beaconladder: this JVM leaves SIGHUP to itself, which ends it: " + e);
--- a/src/main/java/beaconladder/app/LabSoakCommand.java
+++ b/src/main/java/beaconladder/app/LabSoakCommand.java
@@ -16,7 +16,8 @@
 
 /** A randomized fault soak over real processes. */
 @Command(name = "soak", mixinStandardHelpOptions = true,
-        description = "Real routers under two or three troubles at a time, judged by what clients and hosts saw; needs cc.",
+        description = {"Real routers under two or three troubles at a time,",
+            "judged by what clients and hosts saw; needs cc."},
         exitCodeList = {"0:every rule held", "1:one was broken", "2:the call is wrong"},
         exitCodeListHeading = "Exit codes:%n")
 final class LabSoakCommand implements Callable<Integer> {
@@ -39,11 +40,13 @@
     public Integer call() throws IOException, InterruptedException {
         if (list) {
             spec.commandLine().getOut().println(Arrays.stream(Trouble.values())
-                    .map(trouble -> trouble.name().toLowerCase(Locale.ROOT)).collect(Collectors.joining("\n")));
+                    .map(trouble -> trouble.name().toLowerCase(Locale.ROOT))
+                            .collect(Collectors.joining("\n")));
             return 0;
         }
         if (routers < 1 || routers > MOST_ROUTERS || rounds < 1) {
-            throw new ParameterException(spec.commandLine(), "1 to " + MOST_ROUTERS + " routers, a round at least");
+            throw new ParameterException(spec.commandLine(), "1 to " + MOST_ROUTERS
+                    + " routers, a round at least");
         }
         return new Soak(seed, routers, rounds, spec.commandLine().getOut())
                 .play(troubles == null ? List.of(Trouble.values()) : troubles) ? 0 : 1;
--- a/src/main/java/beaconladder/invariants/Invariants.java
+++ b/src/main/java/beaconladder/invariants/Invariants.java
@@ -80,7 +80,8 @@
         boolean harmless = ran == null || txn.type.effect() == Effect.REPEATABLE
                 || txn.type.effect() == Effect.REFERENCED && txn.type.scope() == TxnType.Scope.ALL;
         if (!harmless) {
-            violations.add(Rule.REPEATING, "request " + txn.number + " refused though it may have run at host "
+            violations.add(Rule.REPEATING, "request " + txn.number
+                    + " refused though it may have run at host "
                     + ran.host.id);
         }
     }
@@ -95,7 +96,9 @@
         return true;
     }
 
-    /** The router has closed a client's connection on which so many queries that it had read have no answer. */
+    /**
+     * The router has closed a client's connection on which so many queries that it had read have no answer.
+     */
     public void closed(String cause, int unanswered) {
         if (unanswered > 0) {
             violations.add(Rule.CLOSING, "a connection closed as " + cause + " with queries unanswered: "
--- a/src/main/java/beaconladder/lab/Programs.java
+++ b/src/main/java/beaconladder/lab/Programs.java
@@ -109,7 +109,8 @@
     }
 
     /** One whose JVM gets more flags. */
-    public Program program(String name, String config, List<String> flags, String... arguments) throws IOException {
+    public Program program(String name, String config, List<String> flags,
+            String... arguments) throws IOException {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(FLAGS);
--- a/src/main/java/beaconladder/lab/scale/Report.java
+++ b/src/main/java/beaconladder/lab/scale/Report.java
@@ -92,14 +92,16 @@
     }
 
     /**
-     * A value that does not grow with size: the largest size lies no further from the median of the others than
-     * this share of it, on either side. A line fitted to flat values follows whichever of them is off by chance.
+     * A value that does not grow with size: the largest size lies no further from the median of the others
+     * than this share of it, on either side. A line fitted to flat values follows whichever of them is off by
+     * chance.
      */
     boolean flat(String name, String unit, double allowed, List<Slope.Point> points) {
         if (points.size() < Slope.FEWEST) {
             throw new IllegalArgumentException("a flat value needs " + Slope.FEWEST + " sizes");
         }
-        List<Slope.Point> bySize = points.stream().sorted(Comparator.comparingDouble(Slope.Point::size)).toList();
+        List<Slope.Point> bySize = points.stream().sorted(Comparator.comparingDouble(Slope.Point::size))
+                .toList();
         Slope.Point largest = bySize.get(bySize.size() - 1);
         double[] others = bySize.stream().limit(bySize.size() - 1L).mapToDouble(Slope.Point::value).sorted()
                 .toArray();
--- a/src/main/java/beaconladder/lab/soak/Request.java
+++ b/src/main/java/beaconladder/lab/soak/Request.java
@@ -16,7 +16,8 @@
      * @param position     the log position that the host had applied, in Unix milliseconds
      * @param waitMillis   the time that it was told
      */
-    record Arrival(int host, int group, long at, boolean ran, long leavingSince, long position, long wallMillis,
+    record Arrival(int host, int group, long at, boolean ran, long leavingSince, long position,
+            long wallMillis,
             long waitMillis) {
     }
 
@@ -96,7 +97,8 @@
                 + " after " + (endedAt - sentAt) / 1_000_000 + " ms;");
         for (Arrival a : arrivals) {
             all.append(" host ").append(a.host()).append(" at ").append((a.at() - sentAt) / 1_000_000)
-                    .append(a.ran() ? " ran" : " not run").append(", lag ").append(a.wallMillis() - a.position())
+                    .append(a.ran() ? " ran" : " not run").append(", lag ")
+                            .append(a.wallMillis() - a.position())
                     .append(", told ").append(a.waitMillis()).append(';');
         }
         return all.toString();
--- a/src/main/java/beaconladder/lab/soak/Soak.java
+++ b/src/main/java/beaconladder/lab/soak/Soak.java
@@ -29,8 +29,8 @@
     private static final double SERVED_AT_END = 0.9;
     /** What no router may log. */
     private static final Pattern FAULT = Pattern.compile(
-            "invariant violated: rule|goes on after a fault|by a fault of this program|a client's connection ends"
-            + "|OutOfMemoryError|Exception in thread");
+            "invariant violated: rule|goes on after a fault|by a fault of this program"
+            + "|a client's connection ends|OutOfMemoryError|Exception in thread");
 
     private final long seed;
     private final int count;
@@ -112,8 +112,10 @@
             out.println("logs in " + folder);
         }
         long served = fleet.requests().values().stream().filter(r -> r.end() == Request.End.SERVED).count();
-        out.printf(Locale.ROOT, "{\"rehearsal\":\"soak\",\"seed\":%d,\"routers\":%d,\"troubles\":{%s},\"requests\":%d,"
-                + "\"served\":%d,\"served_after\":%.3f,\"broken\":{%s},\"others\":%d,\"held\":%b}%n", seed, count,
+        out.printf(Locale.ROOT,
+                "{\"rehearsal\":\"soak\",\"seed\":%d,\"routers\":%d,\"troubles\":{%s},\"requests\":%d,"
+                + "\"served\":%d,\"served_after\":%.3f,\"broken\":{%s},\"others\":%d,\"held\":%b}%n", seed,
+                        count,
                 counts(played), fleet.requests().size(), served, servedWell / Math.max(1.0, well.size()),
                 counts(oracle.counts()), broken.size() - oracle.shown().size(), held);
         out.flush();
--- a/src/main/java/beaconladder/lab/soak/SoakClients.java
+++ b/src/main/java/beaconladder/lab/soak/SoakClients.java
@@ -106,7 +106,8 @@
         }
     }
 
-    private Deque<Request> send(Caller caller, SoakRouter router, int count, long after, SplittableRandom chance) {
+    private Deque<Request> send(Caller caller, SoakRouter router, int count, long after,
+            SplittableRandom chance) {
         Deque<Request> out = new ArrayDeque<>();
         Outbox text = new Outbox();
         for (int i = 0; i < count; i++) {
@@ -174,13 +175,15 @@
     /** Sends nonsense, or half of something, and stays; it has to be told or closed in time. */
     private void behaveBadly(Socket socket, SplittableRandom chance) throws IOException {
         byte[] start = bytes(Outbox.startup("app", "shop"));
-        byte[] query = bytes(Outbox.query("SELECT doc FROM items WHERE id = 'x' /* id=b" + ids.incrementAndGet()
+        byte[] query = bytes(Outbox.query("SELECT doc FROM items WHERE id = 'x' /* id=b"
+                + ids.incrementAndGet()
                 + ",c=own,t=acme,d=900,cluster=1,after=1e" + chance.nextInt(99_999_999) + " */"));
         int way = chance.nextInt(5);
         long from = System.nanoTime();
         switch (way) {
             case 0 -> socket.getOutputStream().write(start, 0, start.length / 2);
-            case 1 -> socket.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            case 1 -> socket.getOutputStream()
+                    .write("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             case 2 -> {
                 socket.getOutputStream().write(start);
                 socket.getOutputStream().write(query, 0, query.length - 3);
--- a/src/main/java/beaconladder/lab/soak/SoakFleet.java
+++ b/src/main/java/beaconladder/lab/soak/SoakFleet.java
@@ -23,7 +23,8 @@
     private static final int PORT_TRIES = 100;
     private static final int USUAL_MILLIS = 5;
     private static final int USUAL_LAG_MILLIS = 20;
-    private static final List<String> TRACED = List.of("-Dorg.slf4j.simpleLogger.log.beaconladder.trace=debug",
+    private static final List<String> TRACED = List.of(
+            "-Dorg.slf4j.simpleLogger.log.beaconladder.trace=debug",
             "-Dorg.slf4j.simpleLogger.showDateTime=true");
 
     /** A span, System.nanoTime's; its end is Long.MAX_VALUE while it lasts. */
@@ -57,7 +58,8 @@
         for (int i = 0; i < count; i++) {
             int port = freePort(chance);
             discoveryOf.put(i, i % 2);
-            Programs.Program program = programs.program("n" + i, configuration(i, port, count), TRACED, "serve");
+            Programs.Program program = programs.program("n" + i, configuration(i, port, count), TRACED,
+                    "serve");
             FaultPlan plan = new FaultPlan(folder.resolve("plan" + i));
             program.environment("LD_PRELOAD", shim.library().toString());
             program.environment("FAULT_SHIM_PLAN", plan.file().toString());
@@ -69,7 +71,10 @@
         starts.forEach(start -> Tasks.join(start, 40_000));
     }
 
-    /** Below the ports that the system gives to connections: one of those would keep a restarted router from it. */
+    /**
+     * Below the ports that the system gives to connections: one of those would keep a restarted router from
+     * it.
+     */
     private static int freePort(SplittableRandom chance) throws IOException {
         for (int i = 0; i < PORT_TRIES; i++) {
             try (ServerSocket free = new ServerSocket(LOWEST_PORT + chance.nextInt(PORTS), 5,
--- a/src/main/java/beaconladder/lab/soak/SoakOracle.java
+++ b/src/main/java/beaconladder/lab/soak/SoakOracle.java
@@ -9,7 +9,8 @@
 final class SoakOracle {
     /** Rules, as the protocol has them. */
     enum Broken {
-        UNANSWERED, LATE_ANSWER, RAN_TWICE, REFUSED_THOUGH_RUN, MEMORY_OVER, AFTER_CLOSE, TOO_MUCH_TIME, DRAIN, STALE,
+        UNANSWERED, LATE_ANSWER, RAN_TWICE, REFUSED_THOUGH_RUN, MEMORY_OVER, AFTER_CLOSE, TOO_MUCH_TIME,
+                DRAIN, STALE,
         AFTER_ANSWER
     }
 
@@ -95,13 +96,15 @@
     }
 
     private void arrived(Request request, Request.Arrival arrival) {
-        if (request.end() == Request.End.LEFT && arrival.at() > request.endedAt() + CLOSE_SLACK + WAY + PAUSE) {
+        if (request.end() == Request.End.LEFT && arrival.at() > request.endedAt() + CLOSE_SLACK + WAY
+                + PAUSE) {
             add(Broken.AFTER_CLOSE, request);
         }
         if (request.end() == Request.End.SERVED && arrival.at() > request.endedAt() + WAY + PAUSE) {
             add(Broken.AFTER_ANSWER, request);
         }
-        // A query that was written ahead has its time from the answer before it: all of them are checked by their own.
+        // A query that was written ahead has its time from the answer before it: all of them are checked by
+        // their own.
         long left = request.deadline() - arrival.at();
         if (arrival.waitMillis() * MS > left + TIME_SLACK + WAY + request.waitedAhead()) {
             add(Broken.TOO_MUCH_TIME, request);
--- a/src/main/java/beaconladder/lab/soak/Troubles.java
+++ b/src/main/java/beaconladder/lab/soak/Troubles.java
@@ -12,7 +12,8 @@
     private static final long SECOND = 1_000_000_000L;
     private static final int[] ACCEPT_ERRORS = {103, 23, 24, 105, 4};
     private static final int[] CONNECT_ERRORS = {105, 99, 101, 113, 110};
-    private static final Manner[] SPOILT = {Manner.CUT, Manner.GARBAGE, Manner.TWO_ROWS, Manner.HUGE, Manner.UNKNOWN,
+    private static final Manner[] SPOILT = {Manner.CUT, Manner.GARBAGE, Manner.TWO_ROWS, Manner.HUGE,
+            Manner.UNKNOWN,
         Manner.NO_DESCRIPTION, Manner.INNER_LENGTH, Manner.ERROR_BEHIND_ROW, Manner.ODD_TAG, Manner.STALL,
         Manner.RESET};
     private static final DiscoveryStandIn.Manner[] BREAKS = {DiscoveryStandIn.Manner.HALF,
--- a/src/main/java/beaconladder/serve/Client.java
+++ b/src/main/java/beaconladder/serve/Client.java
@@ -9,7 +9,9 @@
 /** A client's connection as its reader sees it: messages come in, it is told to go, it leaves. */
 final class Client {
     private static final Logger LOG = LoggerFactory.getLogger(Client.class);
-    /** A startup message is due so long after the connection, and the rest of a message after its first byte. */
+    /**
+     * A startup message is due so long after the connection, and the rest of a message after its first byte.
+     */
     private static final long OPENING = 2_000_000_000L;
     /** So much is read of a client after its end was told, so that it sees the message. */
     private static final int WASTE = 64 * 1024;
@@ -77,7 +79,6 @@
         return cameAt;
     }
 
-    /** Whether its client has shown what it is here for. */
     boolean known() {
         return known;
     }
@@ -86,7 +87,6 @@
         known = now;
     }
 
-    /** Whether its client has been told to go. */
     boolean ending() {
         return endedAt != 0;
     }
@@ -216,8 +216,9 @@
         if (endedAt != 0 || !lastLook && !readable() || usedAt >= since || !idle(since)) {
             return false;
         }
-        // Closed, not half-closed: a query that crosses this is answered by a reset, so it is known not to have been
-        // read. The last look comes right before the close, as this thread may stand still between any two steps.
+        // Closed, not half-closed: a query that crosses this is answered by a reset, so it is known not to
+        // have been read. The last look comes right before the close, as this thread may stand still between
+        // any two steps.
         try {
             if (!lastLook && in.feed(wire) > 0) {
                 cameAt = desk.now();
@@ -232,10 +233,10 @@
     }
 
     /**
-     * The router ends: this connection is looked at for the last time, and closed now or after the answers to what has
-     * come in by then; else a client that writes on and on would keep it open until the kill. While the last answers
-     * are due the sweep still reads what comes, for the client's end may stand behind it, and declines it; what
-     * crosses the last is unread.
+     * The router ends: this connection is looked at for the last time, and closed now or after the answers to
+     * what has come in by then; else a client that writes on and on would keep it open until the kill. While
+     * the last answers are due the sweep still reads what comes, for the client's end may stand behind it,
+     * and declines it; what crosses the last is unread.
      */
     void lastLook() {
         closeIfIdle(Long.MAX_VALUE);
--- a/src/main/java/beaconladder/serve/ClientAcceptor.java
+++ b/src/main/java/beaconladder/serve/ClientAcceptor.java
@@ -79,8 +79,8 @@
     }
 
     /**
-     * The system gives no connection now, for what may end by itself (a connection that was aborted, a table that
-     * is full), so nobody is ended for it at once, and the others are read on.
+     * The system gives no connection now, for what may end by itself (a connection that was aborted, a table
+     * that is full), so nobody is ended for it at once, and the others are read on.
      */
     private void failed(IOException cause) {
         failures++;
--- a/src/main/java/beaconladder/serve/Clients.java
+++ b/src/main/java/beaconladder/serve/Clients.java
@@ -89,8 +89,8 @@
     }
 
     /**
-     * A channel that was closed keeps its descriptor until the next selection, and what its client sent last is told
-     * unread by a reset only then. Left to the end of the process that would come some 400 ms later.
+     * A channel that was closed keeps its descriptor until the next selection, and what its client sent last
+     * is told unread by a reset only then. Left to the end of the process that would come some 400 ms later.
      */
     private void finishCloses() {
         try {
--- a/src/main/java/beaconladder/serve/Lines.java
+++ b/src/main/java/beaconladder/serve/Lines.java
@@ -51,7 +51,10 @@
         return descriptors.held(Descriptors.Use.HOST);
     }
 
-    /** Makes a connection that is not yet open, within this moment (a nanoTime); null where there is no descriptor. */
+    /**
+     * Makes a connection that is not yet open, within this moment (a nanoTime); null where there is no
+     * descriptor.
+     */
     Line make(InetSocketAddress address, long until) throws IOException {
         boolean taken = descriptors.take(Descriptors.Use.HOST)
                 || idle.closeOldest() && descriptors.take(Descriptors.Use.HOST)
@@ -101,7 +104,8 @@
     void send(Hand.Order order, Statement statement) {
         HostCall call = new HostCall(this, desk, order.submission().host, order.submission(), statement,
                 desk.nanoTime(order.nanos()));
-        // The answer of a copy must not wait for one that can't be called off, unless there is no thread for it.
+        // The answer of a copy must not wait for one that can't be called off, unless there is no thread for
+        // it.
         if (cancels || !threads.tryExecute(call)) {
             call.run();
         }
--- a/src/main/java/beaconladder/serve/Trace.java
+++ b/src/main/java/beaconladder/serve/Trace.java
@@ -78,7 +78,8 @@
 
     void heldBack(Submission s, SendCheck check, long now) {
         if (on) {
-            add("held back " + id(s.txn) + " n=" + s.number + " host=" + name(s.host) + " " + check + " after="
+            add("held back " + id(s.txn) + " n=" + s.number + " host=" + name(s.host) + " " + check
+                    + " after="
                     + ms(now - s.sent));
         }
     }
--- a/src/main/java/beaconladder/store/Records.java
+++ b/src/main/java/beaconladder/store/Records.java
@@ -103,8 +103,8 @@
     }
 
     /**
-     * Writes one record; it is on the disk when this returns. Where it can't be written, it is not there once a later
-     * write has succeeded, and the next call finds out whether the disk is well again.
+     * Writes one record; it is on the disk when this returns. Where it can't be written, it is not there once
+     * a later write has succeeded, and the next call finds out whether the disk is well again.
      */
     public void append(byte[] record) throws IOException {
         long number = next;
--- a/src/test/java/beaconladder/ClusterClockTest.java
+++ b/src/test/java/beaconladder/ClusterClockTest.java
@@ -43,7 +43,8 @@
     void spoiltPositionsMoveNothing() {
         for (int i = 0; i < 40; i++) {
             long now = NOW + 100 * i * MS;
-            assertThat(clock.believes(i % 2 == 0 ? a : b, now + (1 + i * 7L % 40) * 60_000 * MS, now)).isFalse();
+            assertThat(clock.believes(i % 2 == 0 ? a : b, now + (1 + i * 7L % 40) * 60_000 * MS, now))
+                    .isFalse();
             assertThat(clock.believes(i % 2 == 0 ? b : a, Long.MAX_VALUE, now)).isFalse();
             assertThat(clock.believes(a, now, now)).isTrue();
         }
--- a/src/test/java/beaconladder/LogicTest.java
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -73,9 +73,10 @@
     }
 
     /**
-     * Seen in rehearsals of restarts: hosts that answered within milliseconds took 1.2 s from one moment to the next. The
-     * writes that waited behind the first of them were sent when its answer came, with 0.8 s left, and ran into their time:
-     * their clients were told that they may have run. That the host takes 1.2 s was known by then.
+     * Seen in rehearsals of restarts: hosts that answered within milliseconds took 1.2 s from one moment to
+     * the next. The writes that waited behind the first of them were sent when its answer came, with 0.8 s
+     * left, and ran into their time: their clients were told that they may have run. That the host takes 1.2
+     * s was known by then.
      */
     @Test
     void aWriteThatMustNotRunTwiceIsNotSentWithLessTimeThanItsPrimaryLastTook() {
@@ -85,20 +86,26 @@
         }
         s.quiet().ask(100, WRITE, 0, 2000).tick(460).ask(101, WRITE, 0, 2000).tick(1_360)
                 .end(100, Outcome.COMMITTED, Role.PRIMARY, 1_360).tick(2_200);
-        assertThat(s.trace()).contains("send 100 to a").doesNotContain("send 101 to a").contains("decline 101");
+        assertThat(s.trace()).contains("send 100 to a").doesNotContain("send 101 to a")
+                .contains("decline 101");
     }
 
-    /** The decision was inside the memory time of 300 ms; the connection that it waited for came up behind it. */
+    /**
+     * The decision was inside the memory time of 300 ms; the connection that it waited for came up behind it.
+     */
     @Test
     void aRepeatDoesNotStandOnceItsMemoryTimeIsOver() {
-        Script s = Script.warm().tick(100).ask(1, REFERENCED, 0, 2000).tick(110).end(1, Outcome.ERROR).tick(150);
+        Script s = Script.warm().tick(100).ask(1, REFERENCED, 0, 2000).tick(110).end(1, Outcome.ERROR)
+                .tick(150);
         assertThat(s.trace()).containsSubsequence("send 1 to a", "error", "send 1 to a");
         s.quiet().tick(399).stands(1).tick(400).stands(1);
         assertThat(s.trace()).isEqualTo("399 stands 1@a true\n400 stands 1@a false\n");
         assertThat(s.quiet().end(1, Outcome.MOOT).trace()).contains("roll back 1");
     }
 
-    /** It was sent to a warm host, or on a ticket of the start before; what connects late meets a cold one. */
+    /**
+     * It was sent to a warm host, or on a ticket of the start before; what connects late meets a cold one.
+     */
     @Test
     void anAttemptDoesNotStandOnceItsHostHasStartedAnew() {
         Script s = Script.warm().tick(5_000).ask(1, ANY, 0, 2000).stands(1);
@@ -234,7 +241,10 @@
                 """);
     }
 
-    /** The router's own machine gave no connection: nothing speaks against the host, and it is tried again shortly. */
+    /**
+     * The router's own machine gave no connection: nothing speaks against the host, and it is tried again
+     * shortly.
+     */
     @Test
     void whatNeverLeftThisMachineIsSentAgainAfterARestAndCountsAsNoAttempt() {
         Script s = Script.warm().tick(5).ask(1, WRITE, 0, 900);
--- a/src/test/java/beaconladder/serve/ClockIT.java
+++ b/src/test/java/beaconladder/serve/ClockIT.java
@@ -7,7 +7,10 @@
 import beaconladder.lab.soak.FaultShim;
 import org.junit.jupiter.api.Test;
 
-/** The wall clock of a router is wrong, or is stepped; the monotonic one runs on, and hosts tell positions by the true time. */
+/**
+ * The wall clock of a router is wrong, or is stepped; the monotonic one runs on, and hosts tell positions by
+ * the true time.
+ */
 class ClockIT extends ServedProgram {
     private static final long HOUR = 3_600_000_000_000L;
     private static final int LOOKS = 40;
--- a/src/test/java/beaconladder/serve/LinesTest.java
+++ b/src/test/java/beaconladder/serve/LinesTest.java
@@ -37,7 +37,8 @@
 
     /** Sends a write by connections of this kind until it has its final answer. */
     private Hand.Order finalAnswer(Lines.Opener opener) throws Exception {
-        Lines lines = new Lines(desk, SETTINGS, new Threads(192), new Room(1 << 20), new Descriptors(128), opener);
+        Lines lines = new Lines(desk, SETTINGS, new Threads(192), new Room(1 << 20), new Descriptors(128),
+                opener);
         desk.errands(lines);
         desk.listed(true, List.of(entry(new InetSocketAddress("127.0.0.1", 1))));
         Thread timer = new Thread(desk.timer());
@@ -76,7 +77,8 @@
     void aConnectionThatIsOfNoUseGivesItsDescriptorBackOnce() throws Exception {
         Descriptors descriptors = new Descriptors(128);
         InetSocketAddress moved = new InetSocketAddress("127.0.0.1", 2);
-        Lines lines = new Lines(desk, SETTINGS, new Threads(192), new Room(1 << 20), descriptors, (address, room) -> {
+        Lines lines = new Lines(desk, SETTINGS, new Threads(192), new Room(1 << 20), descriptors, (address,
+                room) -> {
             if (address.equals(moved)) {
                 throw new IOException("no buffer space available");
             }
@@ -97,7 +99,10 @@
         assertThat(descriptors.held(Descriptors.Use.HOST)).isZero();
     }
 
-    /** While it answers for the last time, its host moves: the connection goes back to those that wait, of no use any more. */
+    /**
+     * While it answers for the last time, its host moves: the connection goes back to those that wait, of no
+     * use any more.
+     */
     private byte[] answer(byte[] query, InetSocketAddress moved) {
         Outbox out = new Outbox();
         if (query[0] == 'Q') {
--- a/src/test/java/beaconladder/serve/PartsTest.java
+++ b/src/test/java/beaconladder/serve/PartsTest.java
@@ -96,7 +96,10 @@
                 """);
     }
 
-    /** Seen: 28 s and all of the heap for the eleven characters of one number, of a client or of a spoilt answer. */
+    /**
+     * Seen: 28 s and all of the heap for the eleven characters of one number, of a client or of a spoilt
+     * answer.
+     */
     @Test
     void aNumberWithALongExponentIsReadAtOnce() {
         for (String number : new String[] {"1e5000000", "1e50000000", "1e500000000", "1e2147483640",
--- a/src/test/java/beaconladder/serve/SystemCallsIT.java
+++ b/src/test/java/beaconladder/serve/SystemCallsIT.java
@@ -30,7 +30,8 @@
         plan = new FaultPlan(folder.resolve("plan"));
         String shim = FaultShim.build(folder).library().toString();
         int port = Program.freePort();
-        router = keep(new Program(folder, config(port), port, "export LD_PRELOAD=" + shim + " FAULT_SHIM_PLAN="
+        router = keep(new Program(folder, config(port), port, "export LD_PRELOAD=" + shim
+                + " FAULT_SHIM_PLAN="
                 + plan.file() + "; ")).ready();
     }
 
