--- a/src/main/java/beaconladder/ClusterClock.java
+++ b/src/main/java/beaconladder/ClusterClock.java
@@ -8,9 +8,9 @@
 import java.util.Map;
 
 /**
- * What time it is by the clock that hosts stamp positions and starts with. The router's own time, {@code now},
- * is the wall clock as it stood at the start, moved on by the monotonic clock: it never steps, but it is wrong
- * for good where the wall was wrong then. Hosts tell by how much:
+ * What time it is by the clock that hosts stamp positions and starts with. The router's own time is the wall
+ * clock as it stood at the start, moved on by the monotonic clock: it never steps, but it is wrong for good
+ * where the wall was wrong then. Hosts tell by how much:
  *
  * <p>A position that was heard at {@code now} has been reached, so the hosts' clock shows it at the least.
  * Too late a time is safe for a bound, too early a one makes reads stale, so that two hosts that agree are
--- a/src/main/java/beaconladder/lab/soak/SoakHost.java
+++ b/src/main/java/beaconladder/lab/soak/SoakHost.java
@@ -78,7 +78,8 @@
         return """
                 {"id":"s-%d","addr":"127.0.0.1:%d","zone":"%s","kind":"m2","cell":%d,"state":"%s",\
                 "weight":1.0,"started_ms":%d,"role":"%s"}""".formatted(number,
-                proxy.port(), number % 2 == 0 ? "east" : "west", group, state, startedMillis, leader ? "leader" : "follower");
+                proxy.port(), number % 2 == 0 ? "east" : "west", group, state,
+                startedMillis, leader ? "leader" : "follower");
     }
 
     @Override
