--- a/src/test/java/beaconladder/ClusterClockTest.java
+++ b/src/test/java/beaconladder/ClusterClockTest.java
@@ -51,6 +51,26 @@
         assertThat(clock.at(NOW)).isEqualTo(NOW);
     }
 
+    /** Else hosts in slow start would look warm by the word of one that is wrong. */
+    @Test
+    void oneHostThatIsAheadOfOthersThatAreNotMovesNothing() {
+        for (int i = 0; i < 40; i++) {
+            long now = NOW + 100 * i * MS;
+            clock.believes(a, now + HOUR, now);
+            clock.believes(b, now - 20 * MS, now);
+        }
+        assertThat(clock.at(NOW)).isEqualTo(NOW);
+    }
+
+    @Test
+    void whereNoOtherIsHeardOneHostIsBelievedInTheEnd() {
+        for (int i = 0; i < 5; i++) {
+            assertThat(clock.believes(a, NOW + HOUR, NOW)).isFalse();
+        }
+        assertThat(clock.believes(a, NOW + HOUR, NOW)).isTrue();
+        assertThat(clock.at(NOW)).isEqualTo(NOW + HOUR);
+    }
+
     @Test
     void commitsFromBeforeTheirSendMoveItBackAndNotTooFar() {
         for (int i = 0; i < 5; i++) {
