--- a/src/main/java/beaconladder/ClusterClock.java
+++ b/src/main/java/beaconladder/ClusterClock.java
@@ -41,6 +41,8 @@
 
     private final Map<Host, Ahead> ahead = new HashMap<>();
     private long offset;
+    /** When a position was last believed. */
+    private long believedAt = Long.MIN_VALUE;
     /** Commits in a row from before their send, and the least that all of them were before it. */
     private int earlyCommits;
     private long earliest = Long.MAX_VALUE;
@@ -74,6 +76,7 @@
         long by = position - at(now);
         if (by <= TOLERANCE) {
             ahead.remove(host);
+            believedAt = now;
             return true;
         }
         if (by > PLAUSIBLE) {
@@ -87,7 +90,9 @@
         ahead.values().removeIf(each -> now - each.at > EVIDENCE_AGE);
         List<Ahead> agreeing = ahead.values().stream()
                 .filter(each -> each.reports >= REPORTS && Math.abs(each.by - by) <= AGREEMENT).toList();
-        boolean alone = ahead.size() == 1 && own.reports >= REPORTS_ALONE;
+        // What was believed since then is of another host: its own would have ended its row.
+        boolean alone = ahead.size() == 1 && own.reports >= REPORTS_ALONE
+                && (believedAt == Long.MIN_VALUE || now - believedAt > EVIDENCE_AGE);
         if (own.reports < REPORTS || agreeing.size() < 2 && !alone) {
             return false;
         }
