--- a/src/test/java/beaconladder/ColdFleet.java
+++ b/src/test/java/beaconladder/ColdFleet.java
@@ -1,14 +1,5 @@
 package beaconladder;
 
-import beaconladder.api.Rounds;
-import beaconladder.api.Router.Outcome;
-import beaconladder.api.Router.Role;
-import beaconladder.api.Router.Word;
-import beaconladder.api.Verdict;
-import beaconladder.fleet.Group;
-import beaconladder.fleet.Host;
-import beaconladder.fleet.Submission;
-import beaconladder.fleet.Txn;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -21,32 +12,32 @@
 final class ColdFleet {
     static final long MS = 1_000_000L;
     static final int HOSTS = 5;
-    private static final long TICK = 5 * MS;
+    static final long TICK = 5 * MS;
     private static final long ZERO = 100_000 * MS;
     /** What a warm host does at once, and how long a txn takes there. */
     private static final long WORK = 150 * MS;
-    private static final long WARM = 10_000 * MS;
-    private static final double LEAST = 0.2;
+    static final long WARM = 10_000 * MS;
+    static final double LEAST = 0.2;
 
     private record Event(long at, long number, Runnable run) {
     }
 
-    private final SplittableRandom chance;
+    final SplittableRandom chance;
     private final int cores;
     private final double capacity;
-    private final double multiple;
-    private final long window;
+    final double multiple;
+    final long window;
     private final double[] weights;
     private final double whole;
-    private final List<Instance> routers = new ArrayList<>();
+    private final List<ColdFleetRouter> routers = new ArrayList<>();
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
     private final long[][] coreFree;
-    private final long[] launched = new long[HOSTS];
-    private final boolean[] down = new boolean[HOSTS];
+    final long[] launched = new long[HOSTS];
+    final boolean[] down = new boolean[HOSTS];
     private final List<ArrayDeque<Long>> sends = new ArrayList<>();
     private double rate;
-    private long now = ZERO;
+    long now = ZERO;
     private long numbered;
     /** The largest count in a window, as a share of its budget and what is put down to chance. */
     double worst;
@@ -66,7 +57,7 @@
         weights = chance.doubles(count).map(x -> uneven ? Math.pow(15, x) / 5 : 1).toArray();
         whole = Arrays.stream(weights).sum();
         for (int i = 0; i < count; i++) {
-            routers.add(new Instance(chance.nextLong(), count, multiple));
+            routers.add(new ColdFleetRouter(this, chance.nextLong(), count, 0));
         }
         for (int i = 0; i < HOSTS; i++) {
             sends.add(new ArrayDeque<>());
@@ -113,7 +104,7 @@
             launched[host] = now;
             Arrays.fill(coreFree[host], now);
         }
-        for (Instance router : routers) {
+        for (ColdFleetRouter router : routers) {
             for (int host : hosts) {
                 router.listed(host);
             }
@@ -121,13 +112,22 @@
         return this;
     }
 
+    /** All routers are killed and start anew at once, with clocks so far ahead of the hosts'. */
+    ColdFleet restartAll(long aheadMillis) {
+        for (int i = 0; i < routers.size(); i++) {
+            routers.get(i).kill();
+            routers.set(i, new ColdFleetRouter(this, chance.nextLong(), routers.size(), aheadMillis * MS));
+        }
+        return this;
+    }
+
     private double share(int host, long at) {
         return launched[host] == 0 || at >= launched[host] + WARM ? 1
                 : LEAST + (1 - LEAST) * Math.max(0, at - launched[host]) / WARM;
     }
 
     /** A call reaches a host; when it is done with it, or less than 0: it can't be reached. */
-    private long reach(int host) {
+    long reach(int host) {
         if (down[host]) {
             return -1;
         }
@@ -149,103 +149,7 @@
         return cores[0];
     }
 
-    private void at(long moment, Runnable run) {
+    void at(long moment, Runnable run) {
         events.add(new Event(moment, numbered++, run));
     }
-
-    /** One router. */
-    private final class Instance implements Rounds.Door {
-        private final Logic logic;
-        private final Rounds rounds;
-        private final Group group = new Group(1);
-        private final List<Host> hosts = new ArrayList<>();
-        private long until;
-        private long txns;
-
-        Instance(long seed, int count, double multiple) {
-            Script settings = new Script("fees.probe=0.069", "rules.fall_multiple=" + multiple,
-                    "rules.fall_us=" + window / 1_000, "rules.cold_share=" + LEAST,
-                    "rules.warm_within_us=" + WARM / 1_000, "replicas_of_me=" + count);
-            logic = new Logic(seed, settings.start);
-            rounds = new Rounds(logic, this);
-            for (int i = 0; i < HOSTS; i++) {
-                hosts.add(new Host(i, group, 0));
-                logic.listed(hosts.get(i), i == 0, Host.State.READY, 0, now);
-            }
-        }
-
-        void listed(int host) {
-            logic.listed(hosts.get(host), false, Host.State.READY, launched[host], now);
-        }
-
-        void comes() {
-            // A quarter writes, the rest any reads.
-            int type = chance.nextInt(4) == 0 ? Script.WRITE : Script.ANY;
-            Txn txn = new Txn(txns, logic.type(type), group, 0, Long.MIN_VALUE, 0, false, now,
-                    now + 2_000 * MS, txns++);
-            rounds.act(txn, logic.place(txn, now), now);
-        }
-
-        void settle() {
-            if (now >= until || group.changed) {
-                until = rounds.settle(now);
-            }
-        }
-
-        private Word says(int host) {
-            return new Word(host == 0 ? Role.PRIMARY : Role.REPLICA, now - (host == 0 ? 0 : 5 * MS), -1);
-        }
-
-        @Override
-        public void send(Submission s, long timeout) {
-            until = 0;
-            int host = s.host.id;
-            long done = reach(host);
-            boolean inTime = done >= 0 && done <= now + timeout;
-            Outcome outcome = done < 0 ? Outcome.UNREACHABLE : inTime ? Outcome.COMMITTED : Outcome.TIMED_OUT;
-            at(done < 0 ? now + TICK : inTime ? done : now + timeout, () -> {
-                if (!s.ended) {
-                    rounds.act(s.txn, logic.after(s, outcome, s.txn.ended || inTime,
-                            inTime ? says(host) : Word.SILENT, Word.SILENT, now), now);
-                    until = 0;
-                }
-            });
-        }
-
-        @Override
-        public void probe(Host host) {
-            boolean up = !down[host.id];
-            at(now + TICK, () -> {
-                logic.probed(host, up ? Outcome.COMMITTED : Outcome.UNREACHABLE,
-                        up ? says(host.id) : Word.SILENT, now);
-                until = 0;
-            });
-        }
-
-        @Override
-        public void cancel(Submission s) {
-            at(now + TICK, () -> {
-                if (!s.ended) {
-                    rounds.act(s.txn, logic.after(s, Outcome.CANCELLED, s.txn.ended, Word.SILENT, Word.SILENT,
-                            now), now);
-                }
-            });
-        }
-
-        @Override
-        public void decline(Txn txn, long comeBack, Verdict.Reason reason) {
-        }
-
-        @Override
-        public void rollBack(Txn txn, Verdict.Reason reason) {
-        }
-
-        @Override
-        public void ended(Txn txn) {
-        }
-
-        @Override
-        public void close(Host host) {
-        }
-    }
 }
--- a/src/test/java/beaconladder/ColdFleetTest.java
+++ b/src/test/java/beaconladder/ColdFleetTest.java
@@ -15,9 +15,10 @@
  * ones, more work than all hosts can do, one host that returns, four of five, a primary, a whole group.
  */
 class ColdFleetTest {
-    private static final int SEEDS = 3;
+    private static final int SEEDS = 10;
     /** The tightest that the deployments state, and the widest. */
     private static final double[] MULTIPLES = {1.5, 3};
+    private static final long HOUR_MILLIS = 3_600_000;
 
     private record Case(String name, UnaryOperator<ColdFleet> plays) {
     }
@@ -57,4 +58,29 @@
         }
         assertThat(atCold).isPositive();
     }
+
+    /**
+     * Their clocks say that each host started long ago. What the hosts say of the time comes with their
+     * answers, and the first requests go out before.
+     */
+    @TestFactory
+    Stream<DynamicTest> routersThatStartWithClocksAheadKeepToTheBudget() {
+        List<DynamicTest> tests = new ArrayList<>();
+        for (int routers : new int[] {5, 30, 100}) {
+            for (long ahead : new long[] {15_000, HOUR_MILLIS}) {
+                tests.add(DynamicTest.dynamicTest(routers + " routers, " + ahead + " ms ahead",
+                        () -> startsAhead(routers, ahead)));
+            }
+        }
+        return tests.stream();
+    }
+
+    private static void startsAhead(int routers, long ahead) {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            ColdFleet fleet = new ColdFleet(seed, routers, false, MULTIPLES[0], 1_000, 0.7, 1).run(2_000)
+                    .lose(1, 2, 3, 4).run(500).back(1, 2, 3, 4).run(300).restartAll(ahead).run(10_000);
+            assertThat(fleet.worst).as("seed " + seed).isLessThan(1);
+            assertThat(fleet.atCold).isPositive();
+        }
+    }
 }
--- a/src/test/java/beaconladder/Script.java
+++ b/src/test/java/beaconladder/Script.java
@@ -25,7 +25,7 @@
     static final int WRITE = 4;
     static final int REFERENCED = 5;
 
-    final Map<String, String> start = new LinkedHashMap<>();
+    final Map<String, String> start = ScriptSettings.usual();
     private final Group group = new Group(1);
     private final Map<String, Host> hosts = new LinkedHashMap<>();
     private final Map<Integer, Txn> txns = new HashMap<>();
@@ -36,26 +36,6 @@
     private boolean showsTimes;
 
     Script(String... settings) {
-        start.put("family_info.freshness", "loose,recent,own_writes,latest,update,update");
-        start.put("family_info.oldest_data_us", "0,500000,0,0,0,0");
-        start.put("family_info.session_marks", "client");
-        start.put("request_classes.count", "6");
-        for (int i = 0; i < 6; i++) {
-            start.put("request_classes." + i + ".effect", i < 4 ? "pure" : i == 4 ? "side_effect" : "token");
-            start.put("request_classes." + i + ".goal_time_us", "800000");
-            start.put("request_classes." + i + ".give_up_us", "2000000");
-            start.put("request_classes." + i + ".key_ttl_us", "300000");
-            start.put("request_classes." + i + ".dedup_scope", "cell");
-            start.put("request_classes." + i + ".late_share", i < 4 ? "0" : "0.5");
-        }
-        start.put("fees.probe", "0.05");
-        start.put("limits.max_attempts", "6");
-        start.put("limits.second_copies", "true");
-        start.put("limits.cancel", "true");
-        start.put("limits.probes", "true");
-        start.put("rules.warm_within_us", "10000000");
-        start.put("rules.cold_share", "0.2");
-        start.put("rules.fall_us", "1000000");
         for (String s : settings) {
             start.put(s.substring(0, s.indexOf('=')), s.substring(s.indexOf('=') + 1));
         }
@@ -154,9 +134,17 @@
     }
 
     Script probed(String name, Role role, long positionMillis, double holds) {
+        return probed(name, new Word(role, ZERO + positionMillis * MS, holds));
+    }
+
+    /** A probe tells of a role alone. */
+    Script found(String name, Role role) {
+        return probed(name, new Word(role, Word.NONE, -1));
+    }
+
+    private Script probed(String name, Word word) {
         hosts.get(name).probeOut = true;
-        logic.probed(hosts.get(name), Outcome.COMMITTED, new Word(role, ZERO + positionMillis * MS, holds),
-                now);
+        logic.probed(hosts.get(name), Outcome.COMMITTED, word, now);
         settle();
         return this;
     }
