--- a/src/main/java/beaconladder/ClusterClock.java
+++ b/src/main/java/beaconladder/ClusterClock.java
@@ -14,9 +14,13 @@
  *
  * <p>A position that was heard at {@code now} has been reached, so the hosts' clock shows it at the least.
  * Too late a time is safe for a bound, too early a one makes reads stale, so that two hosts that agree are
- * enough to move it forward; a position ahead of it is believed only then, as an answer may be spoilt. A
- * once-only write that was committed after it was sent gives the other side: its commit is no earlier than
- * the send. It is moved back only by several of them in a row, and stays ahead of what they allow.
+ * enough to move it forward; a position ahead of it is believed only then, as an answer may be spoilt. The
+ * answer of a primary gives the other side: a primary stands at the present, so what it answers is no earlier
+ * than the send. The clock is moved back only by several such answers in a row, and stays ahead of what they
+ * allow.
+ *
+ * <p>Until a host has shown that this clock is not far ahead, it is not confirmed, and no start of a host
+ * counts as long ago by it.
  */
 final class ClusterClock {
     /** Clocks read in whole milliseconds by two processes; nothing applied can lie further ahead. */
@@ -31,9 +35,11 @@
     private static final int REPORTS = 2;
     /** Where no second host is heard at all, so many do. */
     private static final int REPORTS_ALONE = 6;
-    /** It is moved back for nothing less: the time that a write takes lies within it. */
+    /** It is moved back for nothing less: the time that an attempt waits before its send lies within it. */
     private static final long LEAST_BACK = 250 * MS;
-    private static final int COMMITS = 6;
+    private static final int EARLY_ANSWERS = 6;
+    /** A clock that is ahead by no more than this makes little of a slow start look over. */
+    private static final long CONFIRMING = 500 * MS;
 
     /** Positions of one host that lay ahead, in a row. */
     private record Ahead(int reports, long by, long at) {
@@ -43,11 +49,12 @@
     private long offset;
     /** When a position was last believed. */
     private long believedAt = Long.MIN_VALUE;
-    /** Commits in a row from before their send, and the least that all of them were before it. */
-    private int earlyCommits;
-    private long earliest = Long.MAX_VALUE;
+    /** Answers in a row from before their send, and the least that all of them were before it. */
+    private int earlyAnswers;
+    private long leastEarly = Long.MAX_VALUE;
     private Host earlyHost;
     private boolean severalHosts;
+    private boolean confirmed;
 
     /** The time by the hosts' clock at this moment of the router's. */
     long at(long now) {
@@ -66,6 +73,11 @@
         return at(now) + by;
     }
 
+    /** Whether a host has shown that this clock is not far ahead of the hosts'. */
+    boolean confirmed() {
+        return confirmed;
+    }
+
     /** The moment of the router's clock at which the hosts' shows this. */
     long moment(long hostTime) {
         return hostTime - offset;
@@ -77,6 +89,7 @@
         if (by <= TOLERANCE) {
             ahead.remove(host);
             believedAt = now;
+            confirmed |= by >= -CONFIRMING;
             return true;
         }
         if (by > PLAUSIBLE) {
@@ -99,27 +112,33 @@
         // Each has reached what it says: the one furthest on lags least.
         offset += agreeing.stream().mapToLong(Ahead::by).max().orElse(by);
         ahead.clear();
+        confirmed = true;
         return true;
     }
 
-    /** A once-only write that was sent at this moment has committed at this position. */
-    void committed(Host host, long position, long sent) {
+    /** A primary has answered, at this position, what was sent to it at this moment. */
+    void primaryAnswered(Host host, long position, long sent) {
         long early = at(sent) - position;
         if (early <= LEAST_BACK) {
-            earlyCommits = 0;
-            earliest = Long.MAX_VALUE;
-            earlyHost = null;
-            severalHosts = false;
+            confirmed = true;
+            forgetEarly();
             return;
         }
         severalHosts |= earlyHost != null && earlyHost != host;
         earlyHost = host;
-        earliest = Math.min(earliest, early);
-        earlyCommits++;
-        if (earlyCommits >= (severalHosts ? COMMITS : 2 * COMMITS)) {
-            offset -= earliest;
-            earlyCommits = 0;
-            earliest = Long.MAX_VALUE;
+        leastEarly = Math.min(leastEarly, early);
+        earlyAnswers++;
+        if (earlyAnswers >= (severalHosts ? EARLY_ANSWERS : 2 * EARLY_ANSWERS)) {
+            offset -= leastEarly;
+            confirmed = true;
+            forgetEarly();
         }
     }
+
+    private void forgetEarly() {
+        earlyAnswers = 0;
+        leastEarly = Long.MAX_VALUE;
+        earlyHost = null;
+        severalHosts = false;
+    }
 }
--- a/src/main/java/beaconladder/ColdRamp.java
+++ b/src/main/java/beaconladder/ColdRamp.java
@@ -5,12 +5,20 @@
 import beaconladder.fleet.Group;
 import beaconladder.fleet.Host;
 import beaconladder.fleet.Samples;
+import beaconladder.fleet.Submission;
 import beaconladder.fleet.Traffic;
 import beaconladder.fleet.Txn;
 import java.util.SplittableRandom;
 
 /** What a host that has just started may be sent, over all routers. */
 record ColdRamp(Traffic traffic, ClusterClock clock, SplittableRandom chance) {
+    private static final long RECENT = 10_000 * MS;
+    /** Two fifths of the stated multiple leave room for chance and for tickets of two windows. */
+    private static final double SAFE = 0.4;
+    private static final double SAFE_BESIDE_WARM = 0.7;
+    /** So many txns the share of types in the traffic counts for, beside those of the group itself. */
+    private static final int PRIOR = 8;
+
     /**
      * Rule 4: a cold host is sent to on tickets alone. Each txn that comes in for its group draws one with
      * the chance that a warm member bears it, times the host's present share: what a warm member bears is
@@ -41,39 +49,66 @@
         txn.drew = true;
         Group group = txn.group;
         group.comes.add(1, 0, now);
-        long since = now - 10_000 * MS;
+        // What needs it is counted only while it is cold, so what comes in is counted for as long.
+        long since = Math.max(now - RECENT, Math.max(group.foundAt, primary.toldOfStart));
         // Where the group has told little, the share of types that need the primary among what comes here.
         double share = (1.0 + traffic.types.stream().filter(type -> type.read().atPrimary())
                 .mapToInt(type -> traffic.mix.count(type.place())).sum()) / (1 + traffic.mix.size());
         double needs = group.comes.sumSince(since);
         double comes = group.comes.since(since) - needs;
-        draw(primary, txn.arrived > group.foundAt ? Math.max(1, (1 + comes) / (share + needs)) : 1, now);
+        double each = (PRIOR + comes) / (PRIOR * share + needs);
+        draw(primary, txn.arrived > group.foundAt ? Math.max(1, each) : 1, now);
+    }
+
+    /** A submission has brought its txn to an end: what that tells of the work that members bear. */
+    void ended(Submission s, boolean committed, long now) {
+        if (!committed) {
+            traffic.failed(s.txn, now);
+            return;
+        }
+        Group group = s.host.group;
+        traffic.committed(s.txn, group.ready(), cold(s.host, now) ? 0 : warm(group, now), now);
+    }
+
+    private int warm(Group group, long now) {
+        int warm = 0;
+        for (Host host : group.members) {
+            warm += host.state == Host.State.READY && !cold(host, now) ? 1 : 0;
+        }
+        return warm;
     }
 
     /** One draw, where so many txns of the group come in for each that draws. */
     private void draw(Host host, double each, long now) {
         Group group = host.group;
-        int ready = group.ready();
-        int warm = (int) group.members.stream().filter(h -> h.state == Host.State.READY && !cold(h, now))
-                .count();
         // The last ten seconds of the group here, a txn or more a second at a router: what a warm member
-        // bore, or where there is none, what members bore on the average. Without such news, all of it.
-        long since = now - 10_000 * MS;
-        Samples bore = warm > 0 ? group.borneWarm : group.borne;
-        double part = (bore.sumSince(since) + 1.0) / (bore.since(since) + 1) / (warm > 0 ? warm : ready);
+        // bore, or where there is none, what members bore on the average. Each txn counts by the members
+        // that were there when it ended: most of them may be gone, or cold, by now. Without such news a
+        // member's part of all.
+        long since = now - RECENT;
+        boolean warm = warm(group, now) > 0;
+        Samples bore = warm ? group.borneWarm : group.borne;
+        double news = (double) bore.sumSince(since) / Group.WHOLE;
+        double part = (news + 1.0 / Math.max(1, group.ready())) / (bore.since(since) + 1);
         double least = traffic.number("rules.cold_share", 0);
-        double share = least
-                + (1 - least) * Math.max(0, clock.at(now) - host.launched)
-                / traffic.micros("rules.warm_within_us");
-        // Two fifths of the stated multiple leave room for chance and for tickets of two windows.
-        double safe = Math.min(1, 0.4 * traffic.number("rules.fall_multiple", 2));
+        double share = least + (1 - least) * age(host, now) / traffic.micros("rules.warm_within_us");
+        double safe = Math.min(1, (warm && host != group.primary ? SAFE_BESIDE_WARM : SAFE) * traffic.number("rules.fall_multiple", 2));
         if (chance.nextDouble() < each * safe * share * part) {
             host.tickets.addLast(now);
         }
     }
 
     boolean cold(Host host, long now) {
-        return host.launched > 0 && clock.at(now) < host.launched + traffic.micros("rules.warm_within_us");
+        return host.launched > 0 && age(host, now) < traffic.micros("rules.warm_within_us");
+    }
+
+    /**
+     * How long ago the host started. By a clock that may be far ahead it would be warm at once, so that
+     * until the clock is confirmed its age is at most the time since this router was told of the start.
+     */
+    private long age(Host host, long now) {
+        long byClock = Math.max(0, clock.at(now) - host.launched);
+        return clock.confirmed() ? byClock : Math.min(byClock, now - host.toldOfStart);
     }
 
     boolean allows(Host host, long now) {
--- a/src/main/java/beaconladder/Ends.java
+++ b/src/main/java/beaconladder/Ends.java
@@ -18,7 +18,7 @@
 
     Verdict giveUp(Txn txn, Verdict.Reason reason, long now) {
         traffic.served(txn, false);
-        traffic.fate(txn, false, false, now);
+        traffic.failed(txn, now);
         Submission ran = txn.mayHaveRun();
         Effect effect = txn.type.effect();
         if (ran == null || effect == Effect.REPEATABLE
--- a/src/main/java/beaconladder/HostRecord.java
+++ b/src/main/java/beaconladder/HostRecord.java
@@ -87,9 +87,11 @@
             agenda.list(group);
             group.members.add(host);
             host.launched = launched;
+            host.toldOfStart = now;
         } else if (launched > host.launched) {
             // A restart: what was known of its health and role is void; positions stay true.
             host.launched = launched;
+            host.toldOfStart = now;
             host.met = false;
             host.ends.clear();
             host.times.clear();
@@ -181,10 +183,11 @@
             host.marks.add(well, 0, now);
         }
         Txn txn = s.txn;
-        boolean dated = outcome == Outcome.COMMITTED && answer.position() != Word.NONE;
         // The commit of a referenced write may be that of an earlier try, before it was sent here.
-        if (dated && txn.type.read() == Read.WRITE && txn.type.effect() == Effect.ONCE_ONLY) {
-            clock.committed(host, answer.position(), s.sent);
+        boolean present = answer.role() == Role.PRIMARY
+                && (txn.type.read() != Read.WRITE || txn.type.effect() == Effect.ONCE_ONLY);
+        if (present && outcome == Outcome.COMMITTED && answer.position() != Word.NONE) {
+            clock.primaryAnswered(host, answer.position(), s.sent);
         }
         hear(host, answer, true, now);
         hear(host, report, false, now);
--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -190,7 +190,7 @@
         if (settled) {
             agenda.drop(txn);
             traffic.served(txn, outcome == Outcome.COMMITTED && now <= txn.slaEnd);
-            traffic.fate(txn, outcome == Outcome.COMMITTED, !ramp.cold(s.host, now), now);
+            ramp.ended(s, outcome == Outcome.COMMITTED, now);
             return Verdict.done(ends.othersOut(txn));
         }
         return place(txn, now);
@@ -200,7 +200,7 @@
     public Verdict left(Txn txn, long now) {
         agenda.drop(txn);
         traffic.patience.add((now - txn.arrived) * 1_000 / txn.type.sla(), 0, now);
-        traffic.fate(txn, false, false, now);
+        traffic.failed(txn, now);
         // Work for a client that has gone keeps the next one waiting.
         return Verdict.done(ends.othersOut(txn));
     }
@@ -216,7 +216,7 @@
             return Verdict.waiting();
         }
         traffic.served(txn, false);
-        traffic.fate(txn, false, false, now);
+        traffic.failed(txn, now);
         return ran == null || txn.type.effect() == Effect.REPEATABLE
                 ? Verdict.decline(0, Verdict.Reason.NOT_ADMITTED)
                 : Verdict.rollBack(Verdict.Reason.NOT_ADMITTED);
--- a/src/main/java/beaconladder/fleet/Group.java
+++ b/src/main/java/beaconladder/fleet/Group.java
@@ -30,7 +30,12 @@
     boolean touched;
     /** Newest commit among the sessions that are no longer remembered one by one. */
     public long forgotten = Long.MIN_VALUE;
-    /** How this router's recent txns of the group ended: 1 for a commit; 1 for a commit at a warm member. */
+    /** What a member bears of a group that is one member alone, in the unit of the two samples below. */
+    public static final long WHOLE = 1_000_000;
+    /**
+     * What one member bore of each of this router's recent txns of the group, and one warm member: a commit
+     * is the work of all members that were there then, by equal parts; what did not commit nobody bore.
+     */
     public final Samples borne = new Samples(32);
     public final Samples borneWarm = new Samples(32);
     /** The txns that came in here lately: 0 for each, 1 once it needed the primary while that was cold. */
--- a/src/main/java/beaconladder/fleet/Traffic.java
+++ b/src/main/java/beaconladder/fleet/Traffic.java
@@ -90,10 +90,22 @@
         }
     }
 
-    /** How a txn ended, at this router and in its group: committed or not, and at a warm member or not. */
-    public void fate(Txn txn, boolean committed, boolean warm, long now) {
-        fates.add(committed ? 1 : 0, 0, now);
-        txn.group.borne.add(committed ? 1 : 0, 0, now);
-        txn.group.borneWarm.add(committed && warm ? 1 : 0, 0, now);
+    /** A txn has ended without a commit. */
+    public void failed(Txn txn, long now) {
+        fates.add(0, 0, now);
+        txn.group.borne.add(0, 0, now);
+        txn.group.borneWarm.add(0, 0, now);
+    }
+
+    /**
+     * A txn has been committed.
+     *
+     * @param members     how many members were there to bear it
+     * @param warmMembers how many of them were warm, if a warm one did, else 0
+     */
+    public void committed(Txn txn, int members, int warmMembers, long now) {
+        fates.add(1, 0, now);
+        txn.group.borne.add(Group.WHOLE / Math.max(1, members), 0, now);
+        txn.group.borneWarm.add(warmMembers == 0 ? 0 : Group.WHOLE / warmMembers, 0, now);
     }
 }
--- a/src/test/java/beaconladder/ClusterClockTest.java
+++ b/src/test/java/beaconladder/ClusterClockTest.java
@@ -72,21 +72,40 @@
     }
 
     @Test
-    void commitsFromBeforeTheirSendMoveItBackAndNotTooFar() {
+    void answersFromBeforeTheirSendMoveItBackAndNotTooFar() {
         for (int i = 0; i < 5; i++) {
-            clock.committed(i % 2 == 0 ? a : b, NOW - HOUR + 30 * MS, NOW);
+            clock.primaryAnswered(i % 2 == 0 ? a : b, NOW - HOUR + 30 * MS, NOW);
         }
         assertThat(clock.at(NOW)).isEqualTo(NOW);
-        clock.committed(b, NOW - HOUR + 400 * MS, NOW);
-        assertThat(clock.at(NOW)).as("no commit lies after its send by it").isEqualTo(NOW - HOUR + 400 * MS);
+        clock.primaryAnswered(b, NOW - HOUR + 400 * MS, NOW);
+        assertThat(clock.at(NOW)).as("no answer lies before its send by it").isEqualTo(NOW - HOUR + 400 * MS);
     }
 
     @Test
-    void aSlowWriteOrOneEarlyCommitMovesNothing() {
+    void aSlowAnswerOrOneThatIsEarlyMovesNothing() {
         for (int i = 0; i < 30; i++) {
-            clock.committed(a, i % 4 == 0 ? NOW + 10 * MS : NOW - 1_000 * MS, NOW);
-            clock.committed(b, NOW - 200 * MS, NOW);
+            clock.primaryAnswered(a, i % 4 == 0 ? NOW + 10 * MS : NOW - 1_000 * MS, NOW);
+            clock.primaryAnswered(b, NOW - 200 * MS, NOW);
         }
         assertThat(clock.at(NOW)).isEqualTo(NOW);
     }
+
+    /** A clock that is ahead makes hosts in slow start look warm. */
+    @Test
+    void itIsConfirmedOnceAHostShowsThatItIsNotFarAhead() {
+        assertThat(clock.confirmed()).isFalse();
+        clock.believes(a, NOW - HOUR, NOW);
+        assertThat(clock.confirmed()).as("a replica that lags, or a clock that is ahead").isFalse();
+        clock.believes(b, NOW - 400 * MS, NOW);
+        assertThat(clock.confirmed()).isTrue();
+    }
+
+    @Test
+    void aClockThatWasMovedIsConfirmed() {
+        for (int i = 0; i < 6; i++) {
+            assertThat(clock.confirmed()).isFalse();
+            clock.primaryAnswered(i % 2 == 0 ? a : b, NOW - HOUR, NOW);
+        }
+        assertThat(clock.confirmed()).isTrue();
+    }
 }
