--- a/src/main/java/beaconladder/ColdRamp.java
+++ b/src/main/java/beaconladder/ColdRamp.java
@@ -15,7 +15,8 @@
     private static final long RECENT = 10_000 * MS;
     /** Two fifths of the stated multiple leave room for chance and for tickets of two windows. */
     private static final double SAFE = 0.4;
-    private static final double SAFE_BESIDE_WARM = 0.7;
+    /** Where the members that are warm have to bear more than they did, so does a cold one, up to this. */
+    private static final double MOST_BESIDE_WARM = 0.75;
     /** So many txns the share of types in the traffic counts for, beside those of the group itself. */
     private static final int PRIOR = 8;
 
@@ -86,13 +87,18 @@
         // that were there when it ended: most of them may be gone, or cold, by now. Without such news a
         // member's part of all.
         long since = now - RECENT;
-        boolean warm = warm(group, now) > 0;
-        Samples bore = warm ? group.borneWarm : group.borne;
+        int warm = warm(group, now);
+        Samples bore = warm > 0 ? group.borneWarm : group.borne;
         double news = (double) bore.sumSince(since) / Group.WHOLE;
         double part = (news + 1.0 / Math.max(1, group.ready())) / (bore.since(since) + 1);
         double least = traffic.number("rules.cold_share", 0);
         double share = least + (1 - least) * age(host, now) / traffic.micros("rules.warm_within_us");
-        double safe = Math.min(1, (warm && host != group.primary ? SAFE_BESIDE_WARM : SAFE) * traffic.number("rules.fall_multiple", 2));
+        double multiple = traffic.number("rules.fall_multiple", 2);
+        double safe = Math.min(1, SAFE * multiple);
+        if (warm > 0 && host != group.primary) {
+            // The warm ones bear what all did, if they can.
+            safe = Math.min(safe * group.ready() / warm, MOST_BESIDE_WARM * multiple);
+        }
         if (chance.nextDouble() < each * safe * share * part) {
             host.tickets.addLast(now);
         }
