--- a/src/main/java/beaconladder/ColdRamp.java
+++ b/src/main/java/beaconladder/ColdRamp.java
@@ -16,7 +16,7 @@
     /** Two fifths of the stated multiple leave room for chance and for tickets of two windows. */
     private static final double SAFE = 0.4;
     /** Where the members that are warm have to bear more than they did, so does a cold one, up to this. */
-    private static final double MOST_BESIDE_WARM = 0.75;
+    private static final double MOST = 0.75;
     /** So many txns the share of types in the traffic counts for, beside those of the group itself. */
     private static final int PRIOR = 8;
 
@@ -79,27 +79,39 @@
         return warm;
     }
 
-    /** One draw, where so many txns of the group come in for each that draws. */
-    private void draw(Host host, double each, long now) {
-        Group group = host.group;
-        // The last ten seconds of the group here, a txn or more a second at a router: what a warm member
-        // bore, or where there is none, what members bore on the average. Each txn counts by the members
-        // that were there when it ended: most of them may be gone, or cold, by now. Without such news a
-        // member's part of all.
+    /**
+     * What one member bore lately of the group's txns at this router, a txn or more a second. Each txn counts
+     * by the members that were there when it ended: most of them may be gone, or cold, by now. Without such
+     * news a member's part of all.
+     */
+    private static double memberPart(Group group, Samples bore, long now) {
         long since = now - RECENT;
-        int warm = warm(group, now);
-        Samples bore = warm > 0 ? group.borneWarm : group.borne;
         double news = (double) bore.sumSince(since) / Group.WHOLE;
-        double part = (news + 1.0 / Math.max(1, group.ready())) / (bore.since(since) + 1);
-        double least = traffic.number("rules.cold_share", 0);
-        double share = least + (1 - least) * age(host, now) / traffic.micros("rules.warm_within_us");
+        return (news + 1.0 / Math.max(1, group.ready())) / (bore.since(since) + 1);
+    }
+
+    /**
+     * The part of what comes in that a cold member may be sent, were it warm. Those that are warm now bear
+     * what all that were did, as far as they can; so does a cold one, as far as chance leaves of its budget.
+     */
+    private double part(Group group, long now) {
         double multiple = traffic.number("rules.fall_multiple", 2);
         double safe = Math.min(1, SAFE * multiple);
-        if (warm > 0 && host != group.primary) {
-            // The warm ones bear what all did, if they can.
-            safe = Math.min(safe * group.ready() / warm, MOST_BESIDE_WARM * multiple);
+        int warm = warm(group, now);
+        if (warm == 0) {
+            return safe * memberPart(group, group.borne, now);
         }
-        if (chance.nextDouble() < each * safe * share * part) {
+        long since = now - RECENT;
+        Samples commits = group.committedWarm;
+        double bears = (commits.sumSince(since) + 1.0) / (commits.since(since) + 1) / warm;
+        return Math.min(safe * bears, MOST * multiple * memberPart(group, group.borneWarm, now));
+    }
+
+    /** One draw, where so many txns of the group come in for each that draws. */
+    private void draw(Host host, double each, long now) {
+        double least = traffic.number("rules.cold_share", 0);
+        double share = least + (1 - least) * age(host, now) / traffic.micros("rules.warm_within_us");
+        if (chance.nextDouble() < each * share * part(host.group, now)) {
             host.tickets.addLast(now);
         }
     }
--- a/src/main/java/beaconladder/app/LabSoakCommand.java
+++ b/src/main/java/beaconladder/app/LabSoakCommand.java
@@ -1,6 +1,7 @@
 package beaconladder.app;
 
 import beaconladder.lab.soak.Soak;
+import beaconladder.lab.soak.SoakPlan;
 import beaconladder.lab.soak.Trouble;
 import java.io.IOException;
 import java.util.Arrays;
@@ -22,6 +23,7 @@
         exitCodeListHeading = "Exit codes:%n")
 final class LabSoakCommand implements Callable<Integer> {
     private static final int MOST_ROUTERS = 40;
+    private static final int MOST_QUIET = 600;
 
     @Spec
     private CommandSpec spec;
@@ -31,6 +33,11 @@
     private int routers;
     @Option(names = "--rounds", defaultValue = "8", description = "Each takes about three seconds.")
     private int rounds;
+    @Option(names = "--quiet", paramLabel = "SECONDS", defaultValue = "0",
+            description = "All is well so long before the first round.")
+    private int quiet;
+    @Option(names = "--ask", description = "Discovery is one service that has to be asked.")
+    private boolean asks;
     @Option(names = "--troubles", split = ",", paramLabel = "TROUBLE", description = "Draw from these only.")
     private List<Trouble> troubles;
     @Option(names = "--list", description = "Name the troubles.")
@@ -44,11 +51,12 @@
                             .collect(Collectors.joining("\n")));
             return 0;
         }
-        if (routers < 1 || routers > MOST_ROUTERS || rounds < 1) {
+        if (routers < 1 || routers > MOST_ROUTERS || rounds < 1 || quiet < 0 || quiet > MOST_QUIET) {
             throw new ParameterException(spec.commandLine(), "1 to " + MOST_ROUTERS
-                    + " routers, a round at least");
+                    + " routers, a round at least, up to " + MOST_QUIET + " s of quiet");
         }
-        return new Soak(seed, routers, rounds, spec.commandLine().getOut())
-                .play(troubles == null ? List.of(Trouble.values()) : troubles) ? 0 : 1;
+        List<Trouble> from = troubles == null ? List.of(Trouble.values()) : troubles;
+        return new Soak(new SoakPlan(seed, routers, rounds, quiet, asks, from),
+                spec.commandLine().getOut()).play() ? 0 : 1;
     }
 }
--- a/src/main/java/beaconladder/fleet/Group.java
+++ b/src/main/java/beaconladder/fleet/Group.java
@@ -38,6 +38,8 @@
      */
     public final Samples borne = new Samples(32);
     public final Samples borneWarm = new Samples(32);
+    /** Of the same txns: 1 for a commit at a warm member. */
+    public final Samples committedWarm = new Samples(32);
     /** The txns that came in here lately: 0 for each, 1 once it needed the primary while that was cold. */
     public final Samples comes = new Samples(64);
     /** Times of recent answers from all members. */
--- a/src/main/java/beaconladder/fleet/Traffic.java
+++ b/src/main/java/beaconladder/fleet/Traffic.java
@@ -95,6 +95,7 @@
         fates.add(0, 0, now);
         txn.group.borne.add(0, 0, now);
         txn.group.borneWarm.add(0, 0, now);
+        txn.group.committedWarm.add(0, 0, now);
     }
 
     /**
@@ -107,5 +108,6 @@
         fates.add(1, 0, now);
         txn.group.borne.add(Group.WHOLE / Math.max(1, members), 0, now);
         txn.group.borneWarm.add(warmMembers == 0 ? 0 : Group.WHOLE / warmMembers, 0, now);
+        txn.group.committedWarm.add(warmMembers == 0 ? 0 : 1, 0, now);
     }
 }
--- a/src/main/java/beaconladder/lab/soak/Soak.java
+++ b/src/main/java/beaconladder/lab/soak/Soak.java
@@ -32,34 +32,26 @@
             "invariant violated: rule|goes on after a fault|by a fault of this program"
             + "|a client's connection ends|OutOfMemoryError|Exception in thread");
 
-    private final long seed;
-    private final int count;
-    private final int rounds;
+    private final SoakPlan plan;
     private final PrintWriter out;
     private final SplittableRandom chance;
     private final Map<Trouble, Integer> played = new EnumMap<>(Trouble.class);
 
-    /**
-     * One that has not begun.
-     *
-     * @param count  how many routers
-     * @param rounds how often two or three troubles begin together
-     */
-    public Soak(long seed, int count, int rounds, PrintWriter out) {
-        this.seed = seed;
-        this.count = count;
-        this.rounds = rounds;
+    /** One that has not begun. */
+    public Soak(SoakPlan plan, PrintWriter out) {
+        this.plan = plan;
         this.out = out;
-        this.chance = new SplittableRandom(seed);
+        this.chance = new SplittableRandom(plan.seed());
     }
 
-    /** Plays it with these troubles; whether every rule held. */
-    public boolean play(List<Trouble> from) throws IOException, InterruptedException {
+    /** Plays it; whether every rule held. */
+    public boolean play() throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("soak");
-        try (SoakFleet fleet = new SoakFleet(count, folder, FaultShim.build(folder), chance.split())) {
-            fleet.clients().start(CLIENTS_A_ROUTER * count, chance.split());
-            for (int i = 0; i < rounds; i++) {
-                round(new Troubles(fleet), from);
+        try (SoakFleet fleet = new SoakFleet(plan, folder, FaultShim.build(folder), chance.split())) {
+            fleet.clients().start(CLIENTS_A_ROUTER * plan.routers(), chance.split());
+            Tasks.sleep(1_000 * plan.quietSeconds());
+            for (int i = 0; i < plan.rounds(); i++) {
+                round(new Troubles(fleet));
             }
             Tasks.sleep(SETTLE_MILLIS);
             long wellFrom = System.nanoTime();
@@ -70,10 +62,10 @@
         }
     }
 
-    private void round(Troubles troubles, List<Trouble> from) throws IOException, InterruptedException {
+    private void round(Troubles troubles) throws IOException, InterruptedException {
         Set<Trouble> drawn = new HashSet<>();
         for (int i = 2 + chance.nextInt(MOST_AT_ONCE - 1); i > 0; i--) {
-            drawn.add(from.get(chance.nextInt(from.size())));
+            drawn.add(plan.troubles().get(chance.nextInt(plan.troubles().size())));
         }
         out.println("round: " + drawn.stream().map(Soak::name).sorted().collect(Collectors.joining(", ")));
         out.flush();
@@ -113,10 +105,9 @@
         }
         long served = fleet.requests().values().stream().filter(r -> r.end() == Request.End.SERVED).count();
         out.printf(Locale.ROOT,
-                "{\"rehearsal\":\"soak\",\"seed\":%d,\"routers\":%d,\"troubles\":{%s},\"requests\":%d,"
-                + "\"served\":%d,\"served_after\":%.3f,\"broken\":{%s},\"others\":%d,\"held\":%b}%n", seed,
-                        count,
-                counts(played), fleet.requests().size(), served, servedWell / Math.max(1.0, well.size()),
+                "{\"rehearsal\":\"soak\",\"seed\":%d,\"routers\":%d,\"asks\":%b,\"troubles\":{%s},\"requests\":%d,"
+                + "\"served\":%d,\"served_after\":%.3f,\"broken\":{%s},\"others\":%d,\"held\":%b}%n",
+                plan.seed(), plan.routers(), plan.asks(), counts(played), fleet.requests().size(), served, servedWell / Math.max(1.0, well.size()),
                 counts(oracle.counts()), broken.size() - oracle.shown().size(), held);
         out.flush();
         return held;
--- a/src/main/java/beaconladder/lab/soak/SoakConfiguration.java
+++ b/src/main/java/beaconladder/lab/soak/SoakConfiguration.java
@@ -7,6 +7,8 @@
 /** The file that tells a router of the soak what it needs. */
 final class SoakConfiguration {
     static final int GRACE_MILLIS = 1_500;
+    /** What a router may hold, its own files included. */
+    static final int DESCRIPTORS = 256;
     static final int WARM_MILLIS = 3_000;
 
     private SoakConfiguration() {
@@ -18,14 +20,14 @@
      * @param discovery the port of discovery's agent
      * @param known     the entries of hosts, joined by commas
      */
-    static String of(String name, int port, int discovery, int routers, String known) {
+    static String of(String name, int port, int discovery, SoakPlan plan, String known) {
         String classes = Arrays.stream(Kind.values()).map(kind -> """
                 {"name":"%s","effect":"%s","dedup_scope":"cell","key_ttl_us":%d,"goal_time_us":500000,\
                 "give_up_us":%d,"late_share":0.5,"points":1.0}""".formatted(kind.label, kind.effect,
                 Kind.MEMORY_MILLIS * 1_000L, kind.budgetMillis * 1_000L)).collect(Collectors.joining(","));
         return """
                 {"name":"%s","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"%x",
-                 "limits":{"cores":0.5,"sockets":256,"memory_mb":160},
+                 "limits":{"cores":0.5,"sockets":%d,"memory_mb":160},
                  "known":{"version":1,"full":true,"servers":[%s]},
                  "settings":{"family_info":{"freshness":[%s],"oldest_data_us":[0,%d,0,0,0],
                   "session_marks":"client"},"fees":{"probe":0.069},
@@ -33,10 +35,10 @@
                   "limits":{"max_attempts":6,"second_copies":true,"cancel":true,"probes":true,
                    "dial_timeout_us":250000,"conn_idle_us":3000000},
                   "load_report":{"fields":["x0","x1","rif"],"how":"inline"},"parties":[{"name":"acme"}],
-                  "round_us":5000,"replicas_of_me":%d,"zones":["east","west"],"request_classes":[%s]}}"""
-                .formatted(name, port, discovery, port * 2654435761L, known,
+                  "round_us":5000,"replicas_of_me":%d,"discovery":"%s","zones":["east","west"],"request_classes":[%s]}}"""
+                .formatted(name, port, discovery, port * 2654435761L, DESCRIPTORS, known,
                         quoted(kind -> kind.freshness), Kind.BOUND_MILLIS * 1_000, GRACE_MILLIS * 1_000,
-                        WARM_MILLIS * 1_000, routers, classes);
+                        WARM_MILLIS * 1_000, plan.routers(), plan.asks() ? "ask" : "push", classes);
     }
 
     private static String quoted(Function<Kind, String> of) {
--- a/src/main/java/beaconladder/lab/soak/SoakFleet.java
+++ b/src/main/java/beaconladder/lab/soak/SoakFleet.java
@@ -31,6 +31,7 @@
     record Span(long from, long to) {
     }
 
+    private final SoakPlan plan;
     private final Programs programs;
     private final List<SoakRouter> routers = new ArrayList<>();
     private final List<SoakHost> hosts = new ArrayList<>();
@@ -44,7 +45,8 @@
     private long troubledFrom;
 
     /** Stands it up and waits until all routers are ready. */
-    SoakFleet(int count, Path folder, FaultShim shim, SplittableRandom chance) throws IOException {
+    SoakFleet(SoakPlan plan, Path folder, FaultShim shim, SplittableRandom chance) throws IOException {
+        this.plan = plan;
         programs = new Programs(folder);
         for (int i = 0; i < Soak.GROUPS * Soak.MEMBERS; i++) {
             hosts.add(new SoakHost(i, 1 + i / Soak.MEMBERS, i % Soak.MEMBERS == 0, requests));
@@ -55,15 +57,15 @@
             agent.list(true, known());
             discoveries.add(agent);
         }
-        for (int i = 0; i < count; i++) {
+        for (int i = 0; i < plan.routers(); i++) {
             int port = freePort(chance);
             discoveryOf.put(i, i % 2);
-            Programs.Program program = programs.program("n" + i, configuration(i, port, count), TRACED,
+            Programs.Program program = programs.program("n" + i, configuration(i, port), TRACED,
                     "serve");
-            FaultPlan plan = new FaultPlan(folder.resolve("plan" + i));
+            FaultPlan faults = new FaultPlan(folder.resolve("plan" + i));
             program.environment("LD_PRELOAD", shim.library().toString());
-            program.environment("FAULT_SHIM_PLAN", plan.file().toString());
-            routers.add(new SoakRouter(i, port, program, plan, broken));
+            program.environment("FAULT_SHIM_PLAN", faults.file().toString());
+            routers.add(new SoakRouter(i, port, program, faults, broken));
         }
         clients = new SoakClients(routers, requests, broken);
         List<Thread> starts = new ArrayList<>();
@@ -87,15 +89,20 @@
         throw new IOException("no free port");
     }
 
-    private String configuration(int router, int port, int count) {
+    private String configuration(int router, int port) {
         return SoakConfiguration.of("n" + router, port,
-                discoveries.get(discoveryOf.get(router)).door.getLocalPort(), count, known());
+                discoveries.get(discoveryOf.get(router)).door.getLocalPort(), plan, known());
     }
 
     private String known() {
         return hosts.stream().map(SoakHost::entry).collect(Collectors.joining(","));
     }
 
+    /** Whether discovery has to be asked. */
+    boolean asks() {
+        return plan.asks();
+    }
+
     List<SoakRouter> routers() {
         return routers;
     }
@@ -139,7 +146,7 @@
 
     /** Its configuration as it should be. */
     void restoreConfiguration(SoakRouter router) throws IOException, InterruptedException {
-        router.reload(configuration(router.number, router.port, routers.size()));
+        router.reload(configuration(router.number, router.port));
     }
 
     /** Some discovery can't be reached from now on, or can again. */
--- a/src/main/java/beaconladder/lab/soak/SoakOracle.java
+++ b/src/main/java/beaconladder/lab/soak/SoakOracle.java
@@ -122,7 +122,7 @@
 
     /** When a change of this moment counts as told. */
     private long told(long changed) {
-        long told = changed + WAY;
+        long told = changed + (fleet.asks() ? TOLD : WAY);
         for (SoakFleet.Span span : fleet.discoveryTroubles()) {
             if (span.from() < changed + TOLD && span.to() > changed - TOLD) {
                 told = span.to() == Long.MAX_VALUE ? Long.MAX_VALUE / 2 : Math.max(told, span.to() + TOLD);
--- a/src/main/java/beaconladder/lab/soak/Trouble.java
+++ b/src/main/java/beaconladder/lab/soak/Trouble.java
@@ -22,10 +22,14 @@
     THREADS_FAIL,
     /** Reads and writes on sockets are short or interrupted. */
     SHORT_IO,
+    /** Writes on sockets are held up for 0.15 s, so that the clock was read as long before. */
+    HELD_UP,
     /** Discovery is silent. */
     DISCOVERY_SILENT,
     /** Discovery's answers are cut, dripped or reset. */
     DISCOVERY_BREAKS,
+    /** Discovery answers up to a second late. */
+    DISCOVERY_SLOW,
     /** A replica drains, is gone, and comes back cold. */
     HOST_DRAINS,
     /** A host crashes and comes back cold. */
@@ -49,5 +53,7 @@
     /** Another host is the primary from now on; lists tell it late. */
     PRIMARY_MOVES,
     /** Bad clients come. */
-    BAD_CLIENTS
+    BAD_CLIENTS,
+    /** Idle clients take all descriptors that a router has for clients. */
+    IDLE_CROWD
 }
--- a/src/main/java/beaconladder/lab/soak/Troubles.java
+++ b/src/main/java/beaconladder/lab/soak/Troubles.java
@@ -1,28 +1,31 @@
 package beaconladder.lab.soak;
 
 import beaconladder.lab.DiscoveryStandIn;
-import beaconladder.lab.HostStandIn.Manner;
 import beaconladder.lab.Tasks;
+import beaconladder.pg.Outbox;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /** Brings each trouble about, and ends it. */
 final class Troubles {
     private static final long SECOND = 1_000_000_000L;
     private static final int[] ACCEPT_ERRORS = {103, 23, 24, 105, 4};
     private static final int[] CONNECT_ERRORS = {105, 99, 101, 113, 110};
-    private static final Manner[] SPOILT = {Manner.CUT, Manner.GARBAGE, Manner.TWO_ROWS, Manner.HUGE,
-            Manner.UNKNOWN,
-        Manner.NO_DESCRIPTION, Manner.INNER_LENGTH, Manner.ERROR_BEHIND_ROW, Manner.ODD_TAG, Manner.STALL,
-        Manner.RESET};
+    /** The longest that a router is held up between reading its clock and writing. */
+    private static final int HOLD_UP_MICROS = 150_000;
     private static final DiscoveryStandIn.Manner[] BREAKS = {DiscoveryStandIn.Manner.HALF,
         DiscoveryStandIn.Manner.CUT, DiscoveryStandIn.Manner.RESET};
 
     private final SoakFleet fleet;
+    private final HostTroubles hosts;
 
     Troubles(SoakFleet fleet) {
         this.fleet = fleet;
+        this.hosts = new HostTroubles(fleet);
     }
 
     /** How a trouble is ended; it may take a while. */
@@ -30,7 +33,7 @@
         void run() throws IOException, InterruptedException;
     }
 
-    private static final End NOTHING = () -> { };
+    static final End NOTHING = () -> { };
 
     /** Begins it; what it returns ends it. */
     End begin(Trouble trouble, int millis, SplittableRandom chance) throws IOException, InterruptedException {
@@ -40,16 +43,15 @@
             case PAUSE -> pause(millis, chance);
             case CLOCK_STEP -> stepClock(chance);
             case CLOCK_WRONG_AT_START -> startWithWrongClock(chance);
-            case ACCEPT_FAILS, CONNECT_FAILS, THREADS_FAIL, SHORT_IO -> systemCalls(trouble, chance);
+            case ACCEPT_FAILS, CONNECT_FAILS, THREADS_FAIL, SHORT_IO, HELD_UP -> systemCalls(trouble, chance);
             case DISCOVERY_SILENT, DISCOVERY_BREAKS -> discovery(trouble, chance);
-            case HOST_DRAINS, HOST_CRASHES -> replace(trouble == Trouble.HOST_CRASHES, chance);
-            case HOST_HANGS, HOST_SILENT, HOST_FAILS, HOST_SPOILS -> host(trouble, chance);
-            case HOST_NETWORK, HOST_IDLE_CLOSE, HOSTS_SLOW, REPLICAS_LAG -> hosts(trouble, chance);
-            case PRIMARY_MOVES -> movePrimary(chance);
+            case DISCOVERY_SLOW -> slowDiscovery(chance);
+            case IDLE_CROWD -> crowd(chance);
             case BAD_CLIENTS -> {
                 fleet.clients().bad = true;
                 yield () -> fleet.clients().bad = false;
             }
+            default -> hosts.begin(trouble, chance);
         };
     }
 
@@ -57,10 +59,6 @@
         return fleet.routers().get(chance.nextInt(fleet.routers().size()));
     }
 
-    private SoakHost anyHost(SplittableRandom chance) {
-        return fleet.hosts().get(chance.nextInt(fleet.hosts().size()));
-    }
-
     private End restart(boolean kill, SplittableRandom chance) {
         SoakRouter router = anyRouter(chance);
         if (!router.take()) {
@@ -158,6 +156,10 @@
                 plan.set(early ? FaultPlan.Field.SOCKET_PER_MILLE : FaultPlan.Field.CONNECT_PER_MILLE, 300);
             }
             case THREADS_FAIL -> plan.set(FaultPlan.Field.THREAD_PER_MILLE, 333);
+            case HELD_UP -> {
+                plan.set(FaultPlan.Field.HOLD_UP_MICROS, HOLD_UP_MICROS);
+                plan.set(FaultPlan.Field.HOLD_UP_PER_MILLE, 100);
+            }
             default -> {
                 plan.set(FaultPlan.Field.SHORT_PER_MILLE, 200);
                 plan.set(FaultPlan.Field.INTERRUPT_PER_MILLE, 50);
@@ -180,70 +182,37 @@
         };
     }
 
-    private End replace(boolean crash, SplittableRandom chance) throws IOException {
-        SoakHost host = anyHost(chance);
-        if (!host.state().equals("Ready") || host.leader() && !crash) {
-            return NOTHING;
-        }
-        if (crash) {
-            host.proxy().silent = false;
-            host.proxy().down = true;
-            host.proxy().resetAll();
-            return () -> {
-                host.started();
-                host.proxy().down = false;
-                fleet.list(host);
-            };
-        }
-        host.state("Terminating");
-        fleet.list(host);
+    /** Idle clients take what descriptors a router has for clients, and some more ask in vain. */
+    private End crowd(SplittableRandom chance) {
+        SoakRouter router = anyRouter(chance);
+        List<Socket> idle = new CopyOnWriteArrayList<>();
+        Thread task = Tasks.spawn(() -> {
+            for (int i = 0; i < SoakConfiguration.DESCRIPTORS; i++) {
+                try {
+                    Socket socket = new Socket(InetAddress.getLoopbackAddress(), router.port);
+                    idle.add(socket);
+                    Outbox.startup("app", "shop").writeTo(socket.getOutputStream());
+                } catch (IOException e) {
+                    // It is full, or ends.
+                    Tasks.sleep(1);
+                }
+            }
+        });
         return () -> {
-            host.started();
-            host.state("Ready");
-            fleet.list(host);
+            Tasks.join(task, 10_000);
+            for (Socket socket : idle) {
+                socket.close();
+            }
         };
     }
 
-    private End host(Trouble trouble, SplittableRandom chance) {
-        SoakHost host = anyHost(chance);
-        switch (trouble) {
-            case HOST_HANGS -> host.hangs = true;
-            case HOST_SILENT -> host.proxy().silent = true;
-            case HOST_FAILS -> host.behavior = SoakHost.Behavior.values()[1 + chance.nextInt(4)];
-            default -> host.manner = SPOILT[chance.nextInt(SPOILT.length)];
-        }
+    private End slowDiscovery(SplittableRandom chance) {
+        DiscoveryStandIn agent = fleet.discoveries().get(chance.nextInt(fleet.discoveries().size()));
+        agent.lateMillis = 100 + chance.nextInt(900);
+        fleet.discoveryTrouble(true);
         return () -> {
-            host.hangs = false;
-            if (host.proxy().silent) {
-                host.proxy().resetAll();
-            }
-            host.proxy().silent = false;
-            host.behavior = SoakHost.Behavior.WELL;
-            host.manner = Manner.ANSWER;
+            agent.lateMillis = 0;
+            fleet.discoveryTrouble(false);
         };
     }
-
-    private End hosts(Trouble trouble, SplittableRandom chance) {
-        List<SoakHost> some = fleet.hosts().stream().filter(host -> chance.nextInt(3) != 0).toList();
-        for (SoakHost host : some) {
-            switch (trouble) {
-                case HOST_NETWORK -> {
-                    host.proxy().acceptMillis = chance.nextInt(300);
-                    host.proxy().resetsPerMille = 30;
-                }
-                case HOST_IDLE_CLOSE -> host.proxy().idleCloseMillis = 20 + chance.nextInt(500);
-                case HOSTS_SLOW -> host.delayMillis = 600 + chance.nextInt(800);
-                default -> host.lagMillis = 400 + chance.nextInt(3_000);
-            }
-        }
-        return () -> some.forEach(SoakFleet::calm);
-    }
-
-    private End movePrimary(SplittableRandom chance) {
-        int group = 1 + chance.nextInt(Soak.GROUPS);
-        List<SoakHost> members = fleet.hosts().stream().filter(host -> host.group == group).toList();
-        SoakHost next = members.get(chance.nextInt(members.size()));
-        members.forEach(host -> host.lead(host == next));
-        return () -> fleet.list(next);
-    }
 }
