--- a/src/test/java/beaconladder/PrimaryClockTest.java
+++ b/src/test/java/beaconladder/PrimaryClockTest.java
@@ -10,6 +10,7 @@
 class PrimaryClockTest {
     private static final int HOUR = 3_600_000;
     private static final int READS = 12;
+    private static final int LOST = 99;
 
     /** Its bounded reads can go to replicas again; without once-only writes too. */
     @Test
@@ -40,4 +41,37 @@
                 .quiet().ask(READS, Script.BOUNDED, 0, 2_000);
         assertThat(script.trace()).doesNotContainPattern("send " + READS + " to [bc]");
     }
+
+    /** An answer that was not heard keeps reads from its primary until that has said what it is. */
+    @Test
+    void anAnswerThatWasLostBeforeTheClockWasPutRightHoldsNoReadFromThePrimary() {
+        Script script = new Script().list("a*", "b", "c").tick(0).probed("a", Role.PRIMARY, -HOUR)
+                .ask(0, Script.CURRENT, 0, 2_000).ask(LOST, Script.CURRENT, 0, 2_000).tick(10)
+                .end(0, Outcome.COMMITTED, Role.PRIMARY, 5 - HOUR).end(LOST, Outcome.RESET)
+                .left(LOST).tick(20).probed("a", Role.PRIMARY, 15 - HOUR).probed("c", Role.REPLICA, 15 - HOUR);
+        int at = 1_000;
+        for (int i = 1; i <= READS; i++) {
+            at += 20;
+            script.tick(at).ask(i, Script.WRITE, 0, 2_000).tick(at + 10)
+                    .end(i, Outcome.COMMITTED, Role.PRIMARY, at + 5 - HOUR);
+        }
+        script.tick(at + 100).probed("a", Role.PRIMARY, at + 90 - HOUR).quiet()
+                .ask(READS + 1, Script.CURRENT, 0, 2_000);
+        assertThat(script.trace()).contains("send " + (READS + 1) + " to a");
+    }
+
+    /** Words without a position are dated by the router's clock. */
+    @Test
+    void aPrimaryThatWasFoundBeforeTheClockWasPutRightCanBeFollowedByAnother() {
+        Script script = new Script().list("a*", "b", "c").tick(0).found("a", Role.PRIMARY);
+        int at = 0;
+        for (int i = 1; i <= READS; i++) {
+            at += 20;
+            script.tick(at).ask(i, Script.WRITE, 0, 2_000).tick(at + 10)
+                    .end(i, Outcome.COMMITTED, Role.PRIMARY, at + 5 - HOUR);
+        }
+        script.tick(at + 100).found("a", Role.REPLICA).found("b", Role.PRIMARY).quiet()
+                .ask(READS + 1, Script.CURRENT, 0, 2_000);
+        assertThat(script.trace()).contains("send " + (READS + 1) + " to b");
+    }
 }
