--- a/src/main/java/beaconladder/Choice.java
+++ b/src/main/java/beaconladder/Choice.java
@@ -94,7 +94,7 @@
             return null;
         }
         // An answer not heard may have denied it, and counts as known; a write learns that by a miss.
-        boolean denied = txn.type.read() != Read.WRITE && primary.unheardAt > txn.group.primaryAt;
+        boolean denied = txn.type.read() != Read.WRITE && targets.mayHaveDenied(primary);
         if (denied || !health.informed(primary, now) && mayAsk(txn) && worth.worthAsking()) {
             txn.want = mayAsk(txn) ? Txn.Want.PRIMARY : Txn.Want.NOTHING;
             return null;
--- a/src/main/java/beaconladder/ClusterClock.java
+++ b/src/main/java/beaconladder/ClusterClock.java
@@ -73,6 +73,11 @@
         return at(now) + by;
     }
 
+    /** No position that is believed lies ahead of this. */
+    long newest(long now) {
+        return at(now) + TOLERANCE;
+    }
+
     /** Whether a host has shown that this clock is not far ahead of the hosts'. */
     boolean confirmed() {
         return confirmed;
--- a/src/main/java/beaconladder/HostRecord.java
+++ b/src/main/java/beaconladder/HostRecord.java
@@ -43,6 +43,9 @@
             agenda.change(group);
         }
         long stamp = word.position() == Word.NONE ? clock.at(now) : word.position();
+        // What was dated by a clock that has been put right since can lie ahead of the present.
+        host.replicaAt = Math.min(host.replicaAt, clock.newest(now));
+        group.primaryAt = Math.min(group.primaryAt, clock.newest(now));
         // A report is older than the answer that it came with: what that denied it does not bring back.
         host.replicaAt = direct && word.role() == Role.REPLICA ? stamp : host.replicaAt;
         if (word.role() == Role.PRIMARY && stamp >= group.primaryAt && stamp > host.replicaAt + MS) {
@@ -140,7 +143,7 @@
         if (host.out.isEmpty() && host.times.since(now - 10_000 * MS) < 3) {
             idle.add(host);
         }
-        host.unheardAt = outcome.fromHost() || s.neverRan ? host.unheardAt : clock.at(now);
+        host.unheardAt = outcome.fromHost() || s.neverRan ? host.unheardAt : now;
         if (outcome.fromHost()) {
             host.met = true;
             host.lastHeard = now;
--- a/src/main/java/beaconladder/Targets.java
+++ b/src/main/java/beaconladder/Targets.java
@@ -20,6 +20,11 @@
                 && (host.met || !traffic.probesAllowed()) && host.position >= target;
     }
 
+    /** Whether an answer of this primary was not heard since it last said that it is the primary. */
+    boolean mayHaveDenied(Host primary) {
+        return primary.unheardAt != UNBOUND && clock.at(primary.unheardAt) > primary.group.primaryAt;
+    }
+
     /** A cold member without a ticket can't take it: waiting for one would hold the read past its time. */
     boolean anyFresh(Txn txn, long now) {
         long target = target(txn, now);
--- a/src/main/java/beaconladder/fleet/Host.java
+++ b/src/main/java/beaconladder/fleet/Host.java
@@ -27,7 +27,7 @@
     public long position = Long.MIN_VALUE;
     /** The newest position at which it said itself that it is a replica. */
     public long replicaAt = Long.MIN_VALUE;
-    /** When the last submission to it ended whose answer, if it gave one, was not heard. */
+    /** When the last submission to it ended whose answer, if it gave one, was not heard; by this router. */
     public long unheardAt = Long.MIN_VALUE;
     /** How far its position lay behind the clock at its last answer. */
     public long lag;
