--- a/src/test/java/beaconladder/serve/LinesTest.java
+++ b/src/test/java/beaconladder/serve/LinesTest.java
@@ -8,14 +8,13 @@
 import beaconladder.pg.Statement;
 import beaconladder.roster.Watch;
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -29,11 +28,18 @@
             "family_info.freshness", "update", "limits.max_attempts", "6", "limits.probes", "false",
             "limits.cancel", "true", "zones", "east", "limits.conn_idle_us", "15000000"));
     private static final int USES = 5;
+    private static final int BUDGET_MILLIS = 2_000;
+    /** The protocol's slack, the hold-up that it allows for, and what a part of a core takes besides. */
+    private static final int SLACK_MILLIS = 150;
+    private static final int HOLD_UP_MILLIS = 150;
+    private static final int REST_OF_THE_WAY_MILLIS = 30;
+    private static final int LOCK_MILLIS = 400;
     private static final String WRITE = "INSERT INTO items (id, doc) VALUES ('k', '\\x00') RETURNING doc "
             + "/* id=w1,c=write,t=acme,d=2000,cluster=1 */";
 
     private final AtomicInteger written = new AtomicInteger();
     private final Desk desk = new Desk(1, SETTINGS, null);
+    private volatile long expiry;
 
     /** Sends a write by connections of this kind until it has its final answer. */
     private Hand.Order finalAnswer(Lines.Opener opener) throws Exception {
@@ -45,8 +51,9 @@
         timer.setDaemon(true);
         timer.start();
         long now = desk.now();
+        expiry = now + BUDGET_MILLIS * 1_000_000L;
         Statement statement = Statement.read(WRITE);
-        Hand hand = desk.take("w1", 0, desk.group(1), statement, Word.NONE, now, now + 2_000_000_000L, null);
+        Hand hand = desk.take("w1", 0, desk.group(1), statement, Word.NONE, now, expiry, null);
         for (Hand.Order order = hand.take();; order = hand.take()) {
             if (order.kind() != Hand.Kind.SEND) {
                 desk.stop();
@@ -59,7 +66,7 @@
     @Test
     void whatFailsInAnUnforeseenWayBehindTheQueryMayHaveRun() throws Exception {
         Hand.Order answer = finalAnswer((address, room) -> new Line(address, room, new FaultySocket(
-                new IllegalStateException("a fault of our own while the answer is read"))));
+                new IllegalStateException("a fault of our own while the answer is read"), written)));
         assertThat(written.get()).as("queries written to a host").isEqualTo(1);
         assertThat(answer.kind()).isEqualTo(Hand.Kind.ROLLED_BACK);
     }
@@ -67,11 +74,70 @@
     @Test
     void norIsItSentAgainWhereMemoryRanOut() throws Exception {
         Hand.Order answer = finalAnswer((address, room) -> new Line(address, room, new FaultySocket(
-                new Error("as where memory runs out while the answer is read"))));
+                new Error("as where memory runs out while the answer is read"), written)));
         assertThat(written.get()).as("queries written to a host").isEqualTo(1);
         assertThat(answer.kind()).isEqualTo(Hand.Kind.ROLLED_BACK);
     }
 
+    /**
+     * Seen under stops of the process: with 10 ms kept back, a hold-up of the 150 ms that are allowed for and
+     * 30 ms for the rest of the way told a host of more time than the client still had, and the slack.
+     */
+    @Test
+    void theTimeThatAHostIsToldHoldsWhereTheWriteIsHeldUp() throws Exception {
+        List<Long> excess = new ArrayList<>();
+        Hand.Order answer = finalAnswer((address, room) -> new Line(address, room, new Tape(new byte[0],
+                query -> {
+                    if (query[0] == 'Q') {
+                        sleep(HOLD_UP_MILLIS + REST_OF_THE_WAY_MILLIS);
+                        String text = new String(query, 5, query.length - 6, StandardCharsets.UTF_8);
+                        long told = Long.parseLong(Statement.read(text).value("d"));
+                        excess.add(told - (expiry - desk.now()) / 1_000_000);
+                    }
+                    return answer(query, new InetSocketAddress("127.0.0.1", 1));
+                })));
+        assertThat(answer.kind()).isEqualTo(Hand.Kind.COMMITTED);
+        assertThat(excess).singleElement().satisfies(ms -> assertThat(ms).isLessThanOrEqualTo(SLACK_MILLIS));
+    }
+
+    /** The check of a send takes the lock of the decisions; what it waits for that is no part of the send. */
+    @Test
+    void aSendThatWaitsForTheLockToBeCheckedIsNotHeldAgainstItself() throws Exception {
+        Hand.Order answer = finalAnswer((address, room) -> new Line(address, room, new Tape(new byte[0],
+                query -> {
+                    if (query[0] == 'Q') {
+                        holdLock(LOCK_MILLIS);
+                    }
+                    return answer(query, new InetSocketAddress("127.0.0.1", 1));
+                })));
+        assertThat(answer.kind()).isEqualTo(Hand.Kind.COMMITTED);
+        assertThat(desk.monitor().invariants().violations().total()).isZero();
+    }
+
+    /** Another thread takes the lock of the decisions now, and keeps it for so long. */
+    private void holdLock(long millis) {
+        CountDownLatch held = new CountDownLatch(1);
+        Thread holder = new Thread(() -> desk.tell(now -> {
+            held.countDown();
+            sleep(millis);
+        }));
+        holder.setDaemon(true);
+        holder.start();
+        try {
+            held.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** Read in the same paths: a connection found dead, and then none to be had in its place. */
     @Test
     void aConnectionThatIsOfNoUseGivesItsDescriptorBackOnce() throws Exception {
@@ -121,76 +187,4 @@
     private static Watch.Entry entry(InetSocketAddress address) {
         return new Watch.Entry("a", address, "east", 1, Watch.State.READY, true, 0);
     }
-
-    /** A host that greets, takes a query, and whose answer can't be read for a fault of this kind. */
-    private final class FaultySocket extends Socket {
-        private final Throwable fault;
-        private final byte[] greeting;
-        private int at;
-        private volatile boolean asked;
-
-        FaultySocket(Throwable fault) {
-            this.fault = fault;
-            Outbox out = new Outbox().authenticationOk().ready();
-            greeting = new byte[out.size()];
-            out.bytes().get(greeting);
-        }
-
-        @Override
-        public void connect(SocketAddress address, int millis) {
-            // It is there.
-        }
-
-        @Override
-        public void setTcpNoDelay(boolean on) {
-            // Nothing delays it.
-        }
-
-        @Override
-        public void setSoTimeout(int millis) {
-            // It answers at once.
-        }
-
-        @Override
-        public InputStream getInputStream() {
-            return new InputStream() {
-                @Override
-                public int read() {
-                    throw new UnsupportedOperationException();
-                }
-
-                @Override
-                public int read(byte[] into, int from, int most) throws IOException {
-                    if (asked) {
-                        if (fault instanceof Error error) {
-                            throw error;
-                        }
-                        throw (RuntimeException) fault;
-                    }
-                    int n = Math.min(most, greeting.length - at);
-                    System.arraycopy(greeting, at, into, from, n);
-                    at += n;
-                    return n;
-                }
-            };
-        }
-
-        @Override
-        public OutputStream getOutputStream() {
-            return new OutputStream() {
-                @Override
-                public void write(int b) {
-                    throw new UnsupportedOperationException();
-                }
-
-                @Override
-                public void write(byte[] from, int start, int length) {
-                    if (from[start] == 'Q') {
-                        asked = true;
-                        written.incrementAndGet();
-                    }
-                }
-            };
-        }
-    }
 }
