--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -176,6 +176,11 @@
         return Math.max(0, traffic.micros("limits.conn_idle_us") - 1_000 * MS);
     }
 
+    @Override
+    public long toldTime(long left) {
+        return times.toldTime(left);
+    }
+
     @Override
     public Verdict after(Submission s, Outcome outcome, boolean settled, Word answer, Word report, long now) {
         record.ended(s, outcome, answer, report, now);
--- a/src/main/java/beaconladder/Times.java
+++ b/src/main/java/beaconladder/Times.java
@@ -13,6 +13,14 @@
 record Times(Traffic traffic, Health health) {
     /** An older answer tells of a load that may be gone. */
     private static final long RECENT = 3_000 * MS;
+    /**
+     * So much of what is left a host is not told. A router may be held up for 0.15 s between its look at the
+     * clock and its write, which is all of the slack that the protocol gives; what a part of a core takes
+     * besides has to be covered here.
+     */
+    private static final long KEPT_BACK = 50 * MS;
+    /** Of little time no more than this part is kept back. */
+    private static final int LEAST_PART = 4;
 
     /**
      * When the SLA time ends, counted from the client's first try. First tries of a type bring one and the
@@ -85,8 +93,9 @@
         Host primary = txn.group.primary;
         boolean recent = primary != null && primary.newestAnswerAt >= txn.arrived - RECENT;
         long answer = Math.max(recent ? primary.newestAnswerTook : 0, txn.group.times.quantile(0.4));
-        long end = txn.type.late() > 0.25 ? lastMoment(txn) : Math.min(txn.slaEnd, lastMoment(txn));
-        return end - answer;
+        // Past the time that it is told, a host may drop the write without a word.
+        long last = answer == 0 ? lastMoment(txn) : lastMoment(txn) - KEPT_BACK;
+        return (txn.type.late() > 0.25 ? last : Math.min(txn.slaEnd, last)) - answer;
     }
 
     /**
@@ -112,6 +121,11 @@
         return (late ? lastMoment(txn) : Math.min(txn.slaEnd, lastMoment(txn))) - now;
     }
 
+    /** How long a host is told that its answer is waited for, where so much is left of the attempt's time. */
+    long toldTime(long left) {
+        return left - Math.min(KEPT_BACK, left / LEAST_PART);
+    }
+
     private long round() {
         return (long) traffic.number("round_us", 5_000) * 1_000;
     }
--- a/src/main/java/beaconladder/api/Router.java
+++ b/src/main/java/beaconladder/api/Router.java
@@ -55,6 +55,9 @@
     /** Whether this submission may still go: asked right before its bytes, as connecting takes time. */
     SendCheck mayGo(Submission submission, long now);
 
+    /** How long a host is told that its answer is waited for, where so much is left of the attempt's time. */
+    long toldTime(long left);
+
     /** How long a connection to a host may have been idle and still be used. */
     long keepIdle();
 
--- a/src/main/java/beaconladder/api/Within.java
+++ b/src/main/java/beaconladder/api/Within.java
@@ -28,6 +28,11 @@
         return inner.mayGo(submission, now);
     }
 
+    @Override
+    public long toldTime(long left) {
+        return inner.toldTime(left);
+    }
+
     @Override
     public long keepIdle() {
         return inner.keepIdle();
--- a/src/main/java/beaconladder/serve/AttemptEvents.java
+++ b/src/main/java/beaconladder/serve/AttemptEvents.java
@@ -47,11 +47,16 @@
         }
     }
 
-    /** The bytes of this attempt have gone, since this moment, with so many milliseconds to wait. */
-    void sent(Submission attempt, long began, long passedMillis) {
+    /** How long a host is told that its answer is waited for, where so much time is left; in nanoseconds. */
+    long toldTime(long left) {
+        return router.toldTime(left);
+    }
+
+    /** The bytes of an attempt have gone. */
+    void sent(SentAttempt sent) {
         lock.lock();
         try {
-            monitor.invariants().sent(new SentAttempt(attempt, began, desk.now(), passedMillis * 1_000_000));
+            monitor.invariants().sent(sent);
         } finally {
             lock.unlock();
         }
--- a/src/main/java/beaconladder/serve/HostCall.java
+++ b/src/main/java/beaconladder/serve/HostCall.java
@@ -4,6 +4,7 @@
 import beaconladder.api.Router.Word;
 import beaconladder.fleet.Host;
 import beaconladder.fleet.Submission;
+import beaconladder.invariants.SentAttempt;
 import beaconladder.pg.Outbox;
 import beaconladder.pg.Statement;
 import beaconladder.serve.Ending.Reach;
@@ -94,13 +95,15 @@
                     : Ending.early(Reach.PART_WRITTEN);
         }
         long began = desk.now();
-        long millis = Math.max(1, (until - System.nanoTime()) / 1_000_000);
+        long millis = Math.max(1, desk.attempts().toldTime(until - System.nanoTime()) / 1_000_000);
         Outbox query = Outbox.query(statement.waiting(millis));
         begun = true;
         if (!line.send(query)) {
             return Ending.early(Reach.PART_WRITTEN);
         }
-        desk.attempts().sent(submission, began, millis);
+        // Read before the check, which waits for the lock of the decisions.
+        long ended = desk.now();
+        desk.attempts().sent(new SentAttempt(submission, began, ended, millis * 1_000_000));
         return line.receive(until);
     }
 
--- a/src/test/java/beaconladder/LogicTest.java
+++ b/src/test/java/beaconladder/LogicTest.java
@@ -664,7 +664,7 @@
                 .ask(2, WRITE, 0, 2000).tick(100).end(2, Outcome.UNREACHABLE).quiet().tick(4100)
                 .ask(3, WRITE, 0, 2000).tick(6100);
         assertThat(s.trace().replaceAll(".*probe.*\n", "")).isEqualTo("""
-                1990   decline 2
+                1940   decline 2
                 4100 ask 3 write
                 5095   decline 3
                 """);
