--- /dev/null
+++ b/src/test/java/beaconladder/feed/SubscriberDiskFaultTest.java
@@ -0,0 +1,145 @@
+package beaconladder.feed;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import beaconladder.lab.soak.FaultPlan;
+import beaconladder.lab.soak.FaultPlan.Field;
+import beaconladder.lab.soak.FaultShim;
+import beaconladder.roster.Watch;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A router's part of the feed, in a process of its own, while writes to its folder fail. */
+@Timeout(120)
+class SubscriberDiskFaultTest {
+    private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    private static final Duration LONG = Duration.ofSeconds(20);
+    private static final int ENOSPC = 28;
+    private static final int EIO = 5;
+    private static final long FAULT_MILLIS = 3_000;
+    /** Long enough for the disk to be full when the version is put back. */
+    private static final long PAUSE_MILLIS = 1_000;
+
+    @TempDir
+    Path folder;
+    private LogStandIn log;
+    private Relay relay;
+    private FaultPlan plan;
+    private Path out;
+    private Process process;
+
+    /** Subscribes at this relay with this folder, and says each version that it puts in force. */
+    public static void main(String[] args) throws Exception {
+        Applier applier = new Applier() {
+            @Override
+            public void check(State next) throws IOException {
+                if (next.entries().containsKey("bad")) {
+                    throw new IOException("a bad one");
+                }
+            }
+
+            @Override
+            public void apply(State next) throws IOException {
+                if (next.entries().containsKey("late")) {
+                    System.out.println("tried " + next.version());
+                    pause();
+                    throw new IOException("it shows only now that it can't be in force");
+                }
+                System.out.println("in force " + next.version());
+            }
+        };
+        try (Subscriber subscriber = new Subscriber("n", System.nanoTime(),
+                Map.of("a", Watch.address(args[0])), Path.of(args[1]), applier)) {
+            System.out.println("kept " + subscriber.kept().version());
+            subscriber.run();
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(PAUSE_MILLIS);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @BeforeEach
+    void standIns() throws Exception {
+        log = new LogStandIn();
+        relay = new Relay("a", ANY, List.of(log.at()), null, 10);
+        plan = new FaultPlan(folder.resolve("plan"));
+        Files.createDirectory(folder.resolve("store"));
+        start();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        process.destroyForcibly().onExit().join();
+        relay.close();
+        log.close();
+    }
+
+    private void start() throws IOException, InterruptedException {
+        out = Files.createTempFile(folder, "out", ".txt");
+        Path store = folder.resolve("store");
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString(), "-cp", System.getProperty("java.class.path"),
+                SubscriberDiskFaultTest.class.getName(),
+                "127.0.0.1:" + relay.at().getPort(), store.toString())
+                .redirectErrorStream(true).redirectOutput(out.toFile());
+        builder.environment().put("LD_PRELOAD", FaultShim.build(folder).library().toString());
+        builder.environment().put("FAULT_SHIM_PLAN", plan.file().toString());
+        builder.environment().put("FAULT_SHIM_FOLDER", store.toString());
+        process = builder.start();
+    }
+
+    private void awaitSaid(String line) {
+        await().atMost(LONG).untilAsserted(() -> assertThat(Files.readString(out).lines()).contains(line));
+    }
+
+    /** A disk that is full for a while says nothing of the version. */
+    @Test
+    void aVersionThatCouldNotBeWrittenIsInForceOnceTheDiskIsWell() throws Exception {
+        log.set("x", "1");
+        awaitSaid("in force 1");
+        int version = 1;
+        for (int fault : new int[] {ENOSPC, EIO}) {
+            plan.set(Field.FILE_ERRNO, fault);
+            log.set("x", String.valueOf(++version));
+            Thread.sleep(FAULT_MILLIS);
+            assertThat(Files.readString(out)).as("in force before it was kept")
+                    .doesNotContain("in force " + version);
+            plan.clear();
+            awaitSaid("in force " + version);
+        }
+    }
+
+    /** It was kept before it was tried, and the one before could not be put back in its place. */
+    @Test
+    void whatWasRefusedIsNotWhatAKilledRouterComesBackWith() throws Exception {
+        log.set("x", "1");
+        awaitSaid("in force 1");
+        log.set("late", "1");
+        awaitSaid("tried 2");
+        plan.set(Field.FILE_ERRNO, ENOSPC);
+        await().atMost(LONG).until(() -> Files.readString(out).contains("version 2 is refused"));
+        Thread.sleep(FAULT_MILLIS);
+        plan.clear();
+        Thread.sleep(FAULT_MILLIS);
+        process.destroyForcibly().onExit().join();
+        start();
+        awaitSaid("kept 1");
+    }
+}
