--- a/src/main/java/beaconladder/feed/Subscriber.java
+++ b/src/main/java/beaconladder/feed/Subscriber.java
@@ -33,6 +33,8 @@
     static final long STALE_MILLIS = 2_000;
     /** After no relay has answered: full jitter up to here, so that a region that heals asks evenly. */
     private static final int BACKOFF_MILLIS = 2_000;
+    /** A disk that failed is tried again after so long. */
+    private static final int DISK_REST_MILLIS = 500;
     /** From a relay that is not the first back to the first: 3 to 9 s. */
     private static final long BACK_MILLIS = 6_000;
 
@@ -43,6 +45,8 @@
     private final Taking taking;
     private final Disk disk;
     private final SplittableRandom chance;
+    /** What has to be written back, as a version was refused behind its write and the disk failed; or null. */
+    private Disk.Kept owed;
     private State held;
     private long inForce;
     private long refused;
@@ -114,6 +118,7 @@
     }
 
     private void poll() throws IOException {
+        putBack();
         int wait = links.quick() ? 0 : WAIT_MILLIS;
         HttpGet relay = links.use();
         String text = relay.get("/v1/feed?since=" + taking.since(held) + "&wait=" + wait + "&name=" + name
@@ -130,7 +135,10 @@
         Update told = FeedText.read(text, Update.class);
         long before = held.version();
         try {
-            take(taking.take(held, told));
+            if (!take(taking.take(held, told))) {
+                pause(DISK_REST_MILLIS);
+                return;
+            }
             whole = false;
         } catch (IOException e) {
             // Once more, and whole; where that doesn't fit either, the relay is of no use.
@@ -151,31 +159,62 @@
         links.answered(fresh);
     }
 
-    private synchronized void take(State next) throws IOException {
+    /** Puts a version in force, or refuses it; false where it could not be written and is to be taken again. */
+    private synchronized boolean take(State next) {
         if (next.version() == refused || next.version() == held.version() && inForce == held.version()) {
-            return;
+            return true;
         }
+        Disk.Kept before = disk.kept();
         try {
             applier.check(next);
+        } catch (IOException e) {
+            refuse(next, e);
+            return true;
+        }
+        try {
             // Before it is in force: after a kill right now this router must not go back.
-            Disk.Kept before = disk.kept();
             disk.keep(next, System.currentTimeMillis());
-            try {
-                applier.apply(next);
-            } catch (IOException e) {
-                disk.keep(before.state(), before.heard());
-                throw e;
-            }
+        } catch (IOException e) {
+            // A disk that is full, or fails, says nothing of the version.
+            LOG.warn("{}: version {} can't be written yet, {} stays in force: {}", name, next.version(),
+                    inForce, e.getMessage());
+            return false;
+        }
+        owed = null;
+        try {
+            applier.apply(next);
             inForce = next.version();
             refused = 0;
+            held = next;
         } catch (IOException e) {
-            LOG.warn("{}: version {} is refused, {} stays in force: {}", name, next.version(), inForce,
-                    e.getMessage());
-            refused = next.version();
+            owed = before;
+            putBack();
+            refuse(next, e);
         }
+        return true;
+    }
+
+    private void refuse(State next, IOException why) {
+        LOG.warn("{}: version {} is refused, {} stays in force: {}", name, next.version(), inForce,
+                why.getMessage());
+        refused = next.version();
         held = next;
     }
 
+    /** Writes what stays in force over a version that was refused once it had been written. */
+    private synchronized void putBack() {
+        if (owed == null) {
+            return;
+        }
+        try {
+            disk.keep(owed.state(), owed.heard());
+            owed = null;
+        } catch (IOException e) {
+            LOG.warn("{}: version {} can't be written back yet: {}", name, owed.state().version(),
+                    e.getMessage());
+        }
+    }
+
     /** A start with no relay there: on with what was in force before, until a relay has something newer. */
     private synchronized void fromDisk() {
         if (held.version() > 0 && inForce == 0 && refused == 0) {
--- a/src/main/java/beaconladder/grant/WallClock.java
+++ b/src/main/java/beaconladder/grant/WallClock.java
@@ -7,13 +7,15 @@
 import java.util.function.LongSupplier;
 
 /**
- * Unix time in nanoseconds; in a rehearsal off by what a file says, so that clocks can be set apart on
- * one machine.
+ * Unix time in nanoseconds as it stood when this was made, moved on by the monotonic clock: spans by it are
+ * spans of real time, whatever is done to the wall clock meanwhile. In a rehearsal off by what a file says, so
+ * that clocks can be set apart on one machine.
  */
 public final class WallClock implements LongSupplier {
     private static final long READ_NANOS = 10_000_000;
 
     private final Path offsetMillis;
+    private final long anchor = unixNanos() - System.nanoTime();
     private long read = System.nanoTime() - READ_NANOS;
     private long offset;
 
@@ -37,7 +39,11 @@
                 // Half written: the offset stays as it was until the next look.
             }
         }
+        return anchor + System.nanoTime() + offset;
+    }
+
+    private static long unixNanos() {
         Instant now = Instant.now();
-        return now.getEpochSecond() * 1_000_000_000L + now.getNano() + offset;
+        return now.getEpochSecond() * 1_000_000_000L + now.getNano();
     }
 }
