--- a/src/main/java/beaconladder/feed/Subscriber.java
+++ b/src/main/java/beaconladder/feed/Subscriber.java
@@ -45,7 +45,7 @@
     private final Taking taking;
     private final Disk disk;
     private final SplittableRandom chance;
-    /** What has to be written back, as a version was refused behind its write and the disk failed; or null. */
+    /** What has to be written back, as a version was refused behind its write and the disk failed. */
     private Disk.Kept owed;
     private State held;
     private long inForce;
@@ -159,7 +159,7 @@
         links.answered(fresh);
     }
 
-    /** Puts a version in force, or refuses it; false where it could not be written and is to be taken again. */
+    /** Puts a version in force, or refuses it; false where it could not be written yet. */
     private synchronized boolean take(State next) {
         if (next.version() == refused || next.version() == held.version() && inForce == held.version()) {
             return true;
--- a/src/main/java/beaconladder/lab/soak/Soak.java
+++ b/src/main/java/beaconladder/lab/soak/Soak.java
@@ -105,10 +105,11 @@
         }
         long served = fleet.requests().values().stream().filter(r -> r.end() == Request.End.SERVED).count();
         out.printf(Locale.ROOT,
-                "{\"rehearsal\":\"soak\",\"seed\":%d,\"routers\":%d,\"asks\":%b,\"troubles\":{%s},\"requests\":%d,"
+                "{\"rehearsal\":\"soak\",\"seed\":%d,\"routers\":%d,\"asks\":%b,"
+                + "\"troubles\":{%s},\"requests\":%d,"
                 + "\"served\":%d,\"served_after\":%.3f,\"broken\":{%s},\"others\":%d,\"held\":%b}%n",
-                plan.seed(), plan.routers(), plan.asks(), counts(played), fleet.requests().size(), served, servedWell / Math.max(1.0, well.size()),
-                counts(oracle.counts()), broken.size() - oracle.shown().size(), held);
+                plan.seed(), plan.routers(), plan.asks(), counts(played), fleet.requests().size(), served,
+                servedWell / Math.max(1.0, well.size()), counts(oracle.counts()), broken.size() - oracle.shown().size(), held);
         out.flush();
         return held;
     }
--- a/src/main/java/beaconladder/lab/soak/SoakConfiguration.java
+++ b/src/main/java/beaconladder/lab/soak/SoakConfiguration.java
@@ -35,7 +35,8 @@
                   "limits":{"max_attempts":6,"second_copies":true,"cancel":true,"probes":true,
                    "dial_timeout_us":250000,"conn_idle_us":3000000},
                   "load_report":{"fields":["x0","x1","rif"],"how":"inline"},"parties":[{"name":"acme"}],
-                  "round_us":5000,"replicas_of_me":%d,"discovery":"%s","zones":["east","west"],"request_classes":[%s]}}"""
+                  "round_us":5000,"replicas_of_me":%d,
+                  "discovery":"%s","zones":["east","west"],"request_classes":[%s]}}"""
                 .formatted(name, port, discovery, port * 2654435761L, DESCRIPTORS, known,
                         quoted(kind -> kind.freshness), Kind.BOUND_MILLIS * 1_000, GRACE_MILLIS * 1_000,
                         WARM_MILLIS * 1_000, plan.routers(), plan.asks() ? "ask" : "push", classes);
--- a/src/main/resources/beaconladder/lab/soak/fault_shim.c
+++ b/src/main/resources/beaconladder/lab/soak/fault_shim.c
@@ -23,7 +23,8 @@
 
 enum field {
     WALL_OFFSET_NANOS, ACCEPT_ERRNO, ACCEPT_PER_MILLE, CONNECT_ERRNO, CONNECT_PER_MILLE, SOCKET_ERRNO, SOCKET_PER_MILLE,
-    THREAD_PER_MILLE, SHORT_PER_MILLE, INTERRUPT_PER_MILLE, FILE_ERRNO, FILE_SHORT, FIELDS
+    THREAD_PER_MILLE, SHORT_PER_MILLE, INTERRUPT_PER_MILLE, FILE_ERRNO, FILE_SHORT,
+    HOLD_UP_PER_MILLE, HOLD_UP_MICROS, FIELDS
 };
 
 static volatile int64_t *plan;
@@ -146,6 +147,13 @@
     return 0;
 }
 
+/* The clock that the caller has read is as old as this when its bytes go. */
+static void hold_up(int fd) {
+    if (comes(HOLD_UP_PER_MILLE) && kind(fd) == S_IFSOCK) {
+        usleep((useconds_t) value(HOLD_UP_MICROS));
+    }
+}
+
 static int file_fails(int fd) {
     if (value(FILE_ERRNO) != 0 && below_folder(fd)) {
         errno = (int) value(FILE_ERRNO);
@@ -170,11 +178,16 @@
     if (interrupted(fd) || file_fails(fd)) {
         return -1;
     }
+    hold_up(fd);
     return REAL(write)(fd, from, file_shortened(fd, shortened(fd, length)));
 }
 
 ssize_t send(int fd, const void *from, size_t length, int flags) {
-    return interrupted(fd) ? -1 : REAL(send)(fd, from, shortened(fd, length), flags);
+    if (interrupted(fd)) {
+        return -1;
+    }
+    hold_up(fd);
+    return REAL(send)(fd, from, shortened(fd, length), flags);
 }
 
 ssize_t pwrite(int fd, const void *from, size_t length, off_t at) {
--- a/src/test/java/beaconladder/PrimaryClockTest.java
+++ b/src/test/java/beaconladder/PrimaryClockTest.java
@@ -48,7 +48,8 @@
         Script script = new Script().list("a*", "b", "c").tick(0).probed("a", Role.PRIMARY, -HOUR)
                 .ask(0, Script.CURRENT, 0, 2_000).ask(LOST, Script.CURRENT, 0, 2_000).tick(10)
                 .end(0, Outcome.COMMITTED, Role.PRIMARY, 5 - HOUR).end(LOST, Outcome.RESET)
-                .left(LOST).tick(20).probed("a", Role.PRIMARY, 15 - HOUR).probed("c", Role.REPLICA, 15 - HOUR);
+                .left(LOST).tick(20).probed("a", Role.PRIMARY, 15 - HOUR)
+                .probed("c", Role.REPLICA, 15 - HOUR);
         int at = 1_000;
         for (int i = 1; i <= READS; i++) {
             at += 20;
--- a/src/test/java/beaconladder/lab/soak/SoakIT.java
+++ b/src/test/java/beaconladder/lab/soak/SoakIT.java
@@ -22,9 +22,19 @@
                 Trouble.TERMINATE, Trouble.BAD_CLIENTS, Trouble.CLOCK_WRONG_AT_START));
     }
 
+    @Test
+    void hostsThatLeaveWhileDiscoveryIsAskedAndWritesAreHeldUpHold() throws Exception {
+        play(new SoakPlan(9, 4, 4, 0, true, List.of(Trouble.HELD_UP, Trouble.HOST_DRAINS,
+                Trouble.DISCOVERY_SLOW, Trouble.DISCOVERY_BREAKS, Trouble.RELOAD, Trouble.IDLE_CROWD)));
+    }
+
     private static void play(long seed, List<Trouble> troubles) throws Exception {
+        play(SoakPlan.of(seed, 4, 4, troubles));
+    }
+
+    private static void play(SoakPlan plan) throws Exception {
         StringWriter said = new StringWriter();
-        boolean held = new Soak(seed, 4, 4, new PrintWriter(said)).play(troubles);
+        boolean held = new Soak(plan, new PrintWriter(said)).play();
         assertThat(held).as(said.toString()).isTrue();
         assertThat(said.toString()).contains("\"broken\":{}", "\"others\":0");
     }
