--- a/src/main/java/beaconladder/lab/soak/Soak.java
+++ b/src/main/java/beaconladder/lab/soak/Soak.java
@@ -109,7 +109,8 @@
                 + "\"troubles\":{%s},\"requests\":%d,"
                 + "\"served\":%d,\"served_after\":%.3f,\"broken\":{%s},\"others\":%d,\"held\":%b}%n",
                 plan.seed(), plan.routers(), plan.asks(), counts(played), fleet.requests().size(), served,
-                servedWell / Math.max(1.0, well.size()), counts(oracle.counts()), broken.size() - oracle.shown().size(), held);
+                servedWell / Math.max(1.0, well.size()), counts(oracle.counts()),
+                broken.size() - oracle.shown().size(), held);
         out.flush();
         return held;
     }
