--- a/src/test/java/beaconladder/PrimaryClockTest.java
+++ b/src/test/java/beaconladder/PrimaryClockTest.java
@@ -75,4 +75,21 @@
                 .ask(READS + 1, Script.CURRENT, 0, 2_000);
         assertThat(script.trace()).contains("send " + (READS + 1) + " to b");
     }
+
+    /** One that another has followed still calls itself the primary, and its log stands still. */
+    @Test
+    void aPrimaryWhoseReplicasAreAheadOfItTellsNothingOfTheTime() {
+        Script script = Script.warm();
+        int at = 2_000;
+        for (int i = 0; i <= READS; i++) {
+            at += 20;
+            script.tick(at).probed("b", Role.REPLICA, at - 10).ask(i, Script.CURRENT, 0, 2_000).tick(at + 10)
+                    .end(i, Outcome.COMMITTED, Role.PRIMARY, 0);
+        }
+        int stopped = at - 10;
+        at += 2_000;
+        script.tick(at).probed("b", Role.REPLICA, stopped).probed("c", Role.REPLICA, stopped).quiet()
+                .ask(LOST, Script.BOUNDED, 0, 2_000);
+        assertThat(script.trace()).doesNotContainPattern("send " + LOST + " to [bc]");
+    }
 }
