--- a/src/main/java/beaconladder/HostRecord.java
+++ b/src/main/java/beaconladder/HostRecord.java
@@ -189,7 +189,9 @@
         // The commit of a referenced write may be that of an earlier try, before it was sent here.
         boolean present = answer.role() == Role.PRIMARY
                 && (txn.type.read() != Read.WRITE || txn.type.effect() == Effect.ONCE_ONLY);
-        if (present && outcome == Outcome.COMMITTED && answer.position() != Word.NONE) {
+        // Nor does one tell of the present whose replicas have got further: another has followed it.
+        present &= answer.position() != Word.NONE && answer.position() >= host.group.newestPosition();
+        if (present && outcome == Outcome.COMMITTED) {
             clock.primaryAnswered(host, answer.position(), s.sent);
         }
         hear(host, answer, true, now);
--- a/src/main/java/beaconladder/fleet/Group.java
+++ b/src/main/java/beaconladder/fleet/Group.java
@@ -58,6 +58,15 @@
         return n;
     }
 
+    /** The newest position that a member is known to have reached; Long.MIN_VALUE without any. */
+    public long newestPosition() {
+        long newest = Long.MIN_VALUE;
+        for (Host host : members) {
+            newest = Math.max(newest, host.position);
+        }
+        return newest;
+    }
+
     /** Whether a write waits here. */
     public boolean holdsWrite() {
         return held.stream().anyMatch(t -> t.type.read() == TxnType.Read.WRITE);
