--- a/src/main/java/beaconladder/feed/Disk.java
+++ b/src/main/java/beaconladder/feed/Disk.java
@@ -6,11 +6,17 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The newest state on the own disk, for a start with no relay there; without a folder it keeps nothing. */
 public final class Disk implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Disk.class);
+
     private final Records records;
     private Kept kept = new Kept(State.none(), 0);
+    /** What has to be in the place of what is kept, as a version was refused behind its write. */
+    private Kept owed;
 
     /**
      * What is kept.
@@ -47,6 +53,25 @@
             records.replace(List.of(FeedText.text(next).getBytes(StandardCharsets.UTF_8)));
         }
         kept = next;
+        owed = null;
+    }
+
+    /** Puts what was kept before back in its place; where that fails it stays owed. */
+    void putBack(Kept before) {
+        owed = before;
+        settle();
+    }
+
+    /** Writes what is owed, if anything is. */
+    void settle() {
+        if (owed == null) {
+            return;
+        }
+        try {
+            keep(owed.state(), owed.heard());
+        } catch (IOException e) {
+            LOG.warn("version {} can't be written back yet: {}", owed.state().version(), e.getMessage());
+        }
     }
 
     @Override
--- a/src/main/java/beaconladder/feed/Subscriber.java
+++ b/src/main/java/beaconladder/feed/Subscriber.java
@@ -45,8 +45,6 @@
     private final Taking taking;
     private final Disk disk;
     private final SplittableRandom chance;
-    /** What has to be written back, as a version was refused behind its write and the disk failed. */
-    private Disk.Kept owed;
     private State held;
     private long inForce;
     private long refused;
@@ -118,7 +116,7 @@
     }
 
     private void poll() throws IOException {
-        putBack();
+        disk.settle();
         int wait = links.quick() ? 0 : WAIT_MILLIS;
         HttpGet relay = links.use();
         String text = relay.get("/v1/feed?since=" + taking.since(held) + "&wait=" + wait + "&name=" + name
@@ -180,15 +178,13 @@
                     inForce, e.getMessage());
             return false;
         }
-        owed = null;
         try {
             applier.apply(next);
             inForce = next.version();
             refused = 0;
             held = next;
         } catch (IOException e) {
-            owed = before;
-            putBack();
+            disk.putBack(before);
             refuse(next, e);
         }
         return true;
@@ -201,20 +197,6 @@
         held = next;
     }
 
-    /** Writes what stays in force over a version that was refused once it had been written. */
-    private synchronized void putBack() {
-        if (owed == null) {
-            return;
-        }
-        try {
-            disk.keep(owed.state(), owed.heard());
-            owed = null;
-        } catch (IOException e) {
-            LOG.warn("{}: version {} can't be written back yet: {}", name, owed.state().version(),
-                    e.getMessage());
-        }
-    }
-
     /** A start with no relay there: on with what was in force before, until a relay has something newer. */
     private synchronized void fromDisk() {
         if (held.version() > 0 && inForce == 0 && refused == 0) {
