--- /dev/null
+++ b/src/test/java/beaconladder/HostHealthTest.java
@@ -0,0 +1,175 @@
+package beaconladder;
+
+import static beaconladder.Script.ANY;
+import static beaconladder.Script.WRITE;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beaconladder.api.Router.Outcome;
+import beaconladder.api.Router.Role;
+import beaconladder.fleet.Host;
+import org.junit.jupiter.api.Test;
+
+/** Whom a router trusts, by what hosts do and say. */
+class HostHealthTest {
+    /** Its own times are work, not queue, while it alone keeps a host busy; the host's report tells so. */
+    @Test
+    void aHostThatSaysItHoldsLittleHasRoomThoughItsTimesScaledWouldBeTooLong() {
+        Script s = Script.warm("replicas_of_me=3");
+        for (int i = 1; i <= 12; i++) {
+            s.ask(i, ANY, 0, 2000).tick(170 * i).end(i, Outcome.COMMITTED, Role.REPLICA, 170 * i);
+        }
+        s.probed("b", Role.REPLICA, 2040, 0).probed("c", Role.REPLICA, 2040, 0).quiet();
+        s.ask(21, ANY, 0, 2000).ask(22, ANY, 0, 2000).ask(23, ANY, 0, 2000).ask(24, ANY, 0, 2000)
+                .ask(25, ANY, 0, 2000);
+        assertThat(s.trace()).isEqualTo("""
+                2040 ask 21 any
+                2040   send 21 to b
+                2040 ask 22 any
+                2040   send 22 to c
+                2040 ask 23 any
+                2040   send 23 to b
+                2040 ask 24 any
+                2040   send 24 to c
+                2040 ask 25 any
+                """);
+    }
+
+    /** It looks idle and quick, and would get all the reads. */
+    @Test
+    void aHostThatFailsAtOnceGetsFewReads() {
+        Script s = Script.warm();
+        int atB = 0;
+        for (int i = 1; i <= 60; i++) {
+            s.probed("b", Role.REPLICA, 40 * i - 40, 0).probed("c", Role.REPLICA, 40 * i - 40, 0).quiet()
+                    .ask(i, ANY, 0, 2000);
+            boolean b = s.trace().contains("to b");
+            atB += b && i > 20 ? 1 : 0;
+            s.tick(40 * i).end(i, b ? Outcome.ERROR : Outcome.COMMITTED, Role.REPLICA, 40 * i);
+            if (b) {
+                s.tick(40 * i + 20).end(i, Outcome.COMMITTED, Role.REPLICA, 40 * i);
+            }
+        }
+        assertThat(atB).isLessThan(5);
+    }
+
+    @Test
+    void aFullHostIsLeftAloneForAMoment() {
+        Script s = Script.warm().list("c", false, Host.State.GONE, 0).ask(1, ANY, 0, 2000)
+                .end(1, Outcome.FULL, Role.REPLICA, 0).tick(150);
+        assertThat(s.trace()).isEqualTo("""
+                0 ask 1 any
+                0   send 1 to b
+                0 end 1@b full
+                120   send 1 to b
+                """);
+    }
+
+    @Test
+    void aRestartedRouterTrustsNoReplicaBeforeItsProbe() {
+        Script s = new Script().list("a*", "b", "c").ask(1, ANY, 0, 2000).tick(5)
+                .probed("c", Role.REPLICA, -900);
+        assertThat(s.trace()).isEqualTo("""
+                0 ask 1 any
+                0 probe c
+                0 probe b
+                5   send 1 to c
+                """);
+    }
+
+    @Test
+    void aHandoverOfThePrimaryIsLearnedFromAMissAndTheNewOneFound() {
+        Script s = Script.warm().tick(200).ask(1, WRITE, 0, 2000).tick(205)
+                .end(1, Outcome.MISS, Role.REPLICA, 4).tick(250).probed("b", Role.REPLICA, 4)
+                .probed("c", Role.PRIMARY, 240);
+        assertThat(s.trace()).isEqualTo("""
+                200 ask 1 write
+                200   send 1 to a
+                205 end 1@a miss
+                205 probe c
+                205 probe b
+                250   send 1 to c
+                """);
+    }
+
+    @Test
+    void anUnreachableHostIsTrustedAgainOnlyAfterAProbe() {
+        Script s = Script.warm().list("c", false, Host.State.GONE, 0).tick(500).ask(1, ANY, 0, 2000).tick(750)
+                .end(1, Outcome.UNREACHABLE).tick(900).probed("b", Role.REPLICA, 890);
+        assertThat(s.trace()).isEqualTo("""
+                500 ask 1 any
+                500   send 1 to b
+                750 end 1@b unreachable
+                750 probe b
+                900   send 1 to b
+                """);
+    }
+
+    @Test
+    void aRouterWithoutATxnAsksNobody() {
+        Script s = new Script().list("a*", "b", "c").tick(5000);
+        assertThat(s.trace()).isEqualTo("");
+    }
+
+    @Test
+    void whereProbesAreCheapMembersAreAskedBeforeTheSendAndTheLessLoadedIsTaken() {
+        Script s = Script.warm("fees.probe=0.01").tick(1000).ask(1, ANY, 0, 2000).tick(1005)
+                .probed("b", Role.REPLICA, 990, 6).probed("c", Role.REPLICA, 990, 1);
+        assertThat(s.trace()).isEqualTo("""
+                1000 ask 1 any
+                1000 probe c
+                1000 probe b
+                1005   send 1 to c
+                """);
+    }
+
+    @Test
+    void aMemberThatDoesNotAnswerItsProbeIsPassedOver() {
+        Script s = Script.warm("fees.probe=0.01").tick(1000).ask(1, ANY, 0, 2000).tick(1005)
+                .probed("b", Role.REPLICA, 990, 6).tick(1100);
+        assertThat(s.trace()).isEqualTo("""
+                1000 ask 1 any
+                1000 probe c
+                1000 probe b
+                1045   send 1 to b
+                """);
+    }
+
+    @Test
+    void aHostThatSaysItIsIdleAndAnswersNothingLosesAgainstItsTimes() {
+        Script s = Script.warm("fees.probe=0.01");
+        for (int i = 0; i < 8; i++) {
+            s.tick(1000 + 400 * i).probed("b", Role.REPLICA, 990 + 400 * i, 0)
+                    .probed("c", Role.REPLICA, 990 + 400 * i, 4).ask(i, ANY, 0, 2000).tick(1150 + 400 * i);
+            s.silent("b", i);
+        }
+        assertThat(s.trace().replaceAll("(?m)^(?!.*send).*\\n", "")).isEqualTo("""
+                1000   send 0 to b
+                1150   send 0 to c
+                1400   send 1 to c
+                1800   send 2 to c
+                2200   send 3 to b
+                2350   send 3 to c
+                2600   send 4 to c
+                3000   send 5 to c
+                3400   send 6 to c
+                3800   send 7 to c
+                """);
+    }
+
+    @Test
+    void aConnectionThatIsHardlyUsedIsClosedAfterUse() {
+        Script s = Script.warm().showClosing();
+        for (int i = 0; i < 4; i++) {
+            s.tick(10 + i).ask(i, WRITE, 0, 2000).end(i, Outcome.COMMITTED, Role.PRIMARY, 10 + i);
+        }
+        assertThat(s.trace().replaceAll("(?m)^(?!.*(close|send)).*\\n", "")).isEqualTo("""
+                10   send 0 to a
+                10 close a
+                11   send 1 to a
+                11 close a
+                12   send 2 to a
+                12 close a
+                13   send 3 to a
+                """);
+    }
+}
