--- a/src/main/java/beaconladder/Choice.java
+++ b/src/main/java/beaconladder/Choice.java
@@ -9,8 +9,8 @@
 import java.util.SplittableRandom;
 
 /** Which host gets a txn now. */
-record Choice(Traffic traffic, Health health, ColdRamp ramp, Times times, HostRoom room, Targets targets,
-        Worth worth, SplittableRandom chance) {
+record Choice(Traffic traffic, Health health, SlowStart slowStart, Times times, HostRoom room,
+        Targets targets, Worth worth, SplittableRandom chance) {
     /** The host that gets this txn now, or null: it waits. */
     Host choose(Txn txn, long now) {
         if (txn.type.read().atPrimary()) {
@@ -30,7 +30,7 @@
         List<Host> fit = new ArrayList<>();
         for (Host host : txn.group.members) {
             if (targets.fresh(host, target) && !txn.outAt(host) && room.roomFor(host, txn, now)
-                    && ramp.allows(host, now) && health.trusted(host, now)) {
+                    && slowStart.allows(host, now) && health.trusted(host, now)) {
                 fit.add(host);
             }
         }
@@ -102,7 +102,7 @@
         if (txn.outAt(primary) || !room.roomFor(primary, txn, now)) {
             return null;
         }
-        ramp.drawForPrimary(txn, primary, now);
-        return ramp.allows(primary, now) ? primary : null;
+        slowStart.drawForPrimary(txn, primary, now);
+        return slowStart.allows(primary, now) ? primary : null;
     }
 }
--- a/src/main/java/beaconladder/Logic.java
+++ b/src/main/java/beaconladder/Logic.java
@@ -43,7 +43,7 @@
     private final Set<Host> idle = new LinkedHashSet<>();
     private final Traffic traffic;
     private final Health health;
-    private final ColdRamp ramp;
+    private final SlowStart slowStart;
     private final Times times;
     private final Targets targets;
     private final Choice choice;
@@ -59,13 +59,13 @@
         traffic = new Traffic(start);
         health = new Health(traffic, chance);
         ClusterClock clock = new ClusterClock();
-        ramp = new ColdRamp(traffic, clock, chance);
+        slowStart = new SlowStart(traffic, clock, chance);
         times = new Times(traffic, health);
-        targets = new Targets(traffic, clock, ramp, new LinkedHashMap<>(64, 0.75f, true));
+        targets = new Targets(traffic, clock, slowStart, new LinkedHashMap<>(64, 0.75f, true));
         worth = new Worth(traffic);
         ends = new Ends(traffic);
         HostRoom room = new HostRoom(traffic, health, times);
-        choice = new Choice(traffic, health, ramp, times, room, targets, worth, chance);
+        choice = new Choice(traffic, health, slowStart, times, room, targets, worth, chance);
         probing = new Probing(traffic, clock, health, targets, choice, worth, agenda, chance);
         record = new HostRecord(traffic, clock, health, targets, agenda, idle);
         sends = new SendGuard(repeats, targets);
@@ -99,7 +99,7 @@
             txn.slaEnd = times.slaEnd(txn);
             traffic.comes(txn.type);
             txn.group.comes.add(0, 0, now);
-            ramp.drawTickets(txn.group, now);
+            slowStart.drawTickets(txn.group, now);
         }
         agenda.drop(txn);
         Verdict verdict = decide(txn, now);
@@ -108,7 +108,7 @@
             boolean spent = verdict.host().tickets.pollFirst() != null;
             targets.sent(txn);
             agenda.schedule(txn, now + health.usual(verdict.host()));
-            if (ramp.cold(verdict.host(), now)) {
+            if (slowStart.cold(verdict.host(), now)) {
                 return verdict.with(spent ? SlowStartTicket.SPENT : SlowStartTicket.MISSING);
             }
         }
@@ -195,7 +195,7 @@
         if (settled) {
             agenda.drop(txn);
             traffic.served(txn, outcome == Outcome.COMMITTED && now <= txn.slaEnd);
-            ramp.ended(s, outcome == Outcome.COMMITTED, now);
+            slowStart.ended(s, outcome == Outcome.COMMITTED, now);
             return Verdict.done(ends.othersOut(txn));
         }
         return place(txn, now);
--- a/src/main/java/beaconladder/SlowStart.java
+++ b/src/main/java/beaconladder/SlowStart.java
@@ -11,7 +11,7 @@
 import java.util.SplittableRandom;
 
 /** What a host that has just started may be sent, over all routers. */
-record ColdRamp(Traffic traffic, ClusterClock clock, SplittableRandom chance) {
+record SlowStart(Traffic traffic, ClusterClock clock, SplittableRandom chance) {
     private static final long RECENT = 10_000 * MS;
     /** Two fifths of the stated multiple leave room for chance and for tickets of two windows. */
     private static final double SAFE = 0.4;
--- a/src/main/java/beaconladder/Targets.java
+++ b/src/main/java/beaconladder/Targets.java
@@ -11,7 +11,8 @@
 import java.util.LinkedHashMap;
 
 /** The log position that a read needs, and who is known to have it. */
-record Targets(Traffic traffic, ClusterClock clock, ColdRamp ramp, LinkedHashMap<Long, Session> sessions) {
+record Targets(Traffic traffic, ClusterClock clock, SlowStart slowStart,
+        LinkedHashMap<Long, Session> sessions) {
     /** Half of the 100 ms after which an answer counts as known, arrived or not; the rest is for the way. */
     private static final long KNOWN = 50 * MS;
 
@@ -28,7 +29,8 @@
     /** A cold member without a ticket can't take it: waiting for one would hold the read past its time. */
     boolean anyFresh(Txn txn, long now) {
         long target = target(txn, now);
-        return txn.group.members.stream().anyMatch(host -> fresh(host, target) && ramp.allows(host, now));
+        return txn.group.members.stream()
+                .anyMatch(host -> fresh(host, target) && slowStart.allows(host, now));
     }
 
     /** The position that a replica must have reached now. Rule 5: a bound is judged at the send. */
