--- a/src/main/java/beaconladder/SlowStart.java
+++ b/src/main/java/beaconladder/SlowStart.java
@@ -17,7 +17,7 @@
     private static final double SAFE = 0.4;
     /** Where the members that are warm have to bear more than they did, so does a cold one, up to this. */
     private static final double MOST = 0.75;
-    /** So many txns the share of types in the traffic counts for, beside those of the group itself. */
+    /** So many txns the share of types in the traffic counts for, where a group returns whole. */
     private static final int PRIOR = 8;
 
     /**
@@ -50,14 +50,21 @@
         txn.drew = true;
         Group group = txn.group;
         group.comes.add(1, 0, now);
-        // What needs it is counted only while it is cold, so what comes in is counted for as long.
-        long since = Math.max(now - RECENT, Math.max(group.foundAt, primary.toldOfStart));
+        // What needs it is counted only while it is cold. Beside warm members what comes in is counted over
+        // a longer time all the same: the first draws, which that raises, stay far under the budget then.
+        // Where a group returns whole they don't, and both are counted for as long.
+        boolean alone = warm(group, now) == 0;
+        long since = now - RECENT;
+        if (alone) {
+            since = Math.max(since, Math.max(group.foundAt, primary.toldOfStart));
+        }
+        int prior = alone ? PRIOR : 1;
         // Where the group has told little, the share of types that need the primary among what comes here.
         double share = (1.0 + traffic.types.stream().filter(type -> type.read().atPrimary())
                 .mapToInt(type -> traffic.mix.count(type.place())).sum()) / (1 + traffic.mix.size());
         double needs = group.comes.sumSince(since);
         double comes = group.comes.since(since) - needs;
-        double each = (PRIOR + comes) / (PRIOR * share + needs);
+        double each = (prior + comes) / (prior * share + needs);
         draw(primary, txn.arrived > group.foundAt ? Math.max(1, each) : 1, now);
     }
 
