Review: a case that fails itself ends with 2, and leaves nothing behind

Cause: an exception of a driver ended with 1, which is the code of a broken rule; a script that was told to end left its work folder.

Change: Rig.guard, run.sh asks the record for the verdict, the work folder goes with the processes; case 1 begins no round after 85 s.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,12 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -d review/out ] && [ -f target/beaconladder.jar ] || { echo "build first, then review/build.sh" >&2; exit 2; }
-exec java -Xmx256m -cp "review/out:target/beaconladder.jar:target/lib/*" review.LateReport "$here"
+rm -f "$here/record.txt"
+java -Xmx256m -cp "review/out:target/beaconladder.jar:target/lib/*" review.LateReport "$here" &
+driver=$!
+# The driver ends all that it has started when it is told to end.
+trap 'kill -TERM $driver 2>/dev/null; wait $driver; exit 2' INT TERM
+wait $driver
+code=$?
+grep -q "verdict $code:" "$here/record.txt" || exit 2
+exit $code
--- a/review/src/review/LateRelease.java
+++ b/review/src/review/LateRelease.java
@@ -52,6 +52,10 @@
 
     public static void main(String[] arguments) throws Exception {
         rig = new Rig(Path.of(arguments[0]));
+        rig.guard(LateRelease::play);
+    }
+
+    private static void play() throws Exception {
         int resource = resource();
         int[] proxies = new int[SERVERS];
         for (int i = 0; i < SERVERS; i++) {
--- a/review/src/review/LateReport.java
+++ b/review/src/review/LateReport.java
@@ -36,6 +36,10 @@
 
     public static void main(String[] arguments) throws Exception {
         rig = new Rig(Path.of(arguments[0]));
+        rig.guard(LateReport::play);
+    }
+
+    private static void play() throws Exception {
         for (int number = 0; number < 2; number++) {
             HostGroup group = rig.group(number, 7 + number);
             group.copyMillis = COPY_MILLIS;
@@ -55,7 +59,9 @@
         int lost = 0;
         int done = 0;
         String example = "";
-        for (int round = 0; round < ROUNDS; round++) {
+        long lastStartNanos = System.nanoTime() + 85_000_000_000L;
+        int round = 0;
+        for (; round < ROUNDS && System.nanoTime() < lastStartNanos; round++) {
             String tenant = "taxi-" + round;
             Map<String, Written> committed = new ConcurrentHashMap<>();
             for (int i = 0; i < SESSIONS; i++) {
@@ -112,7 +118,7 @@
         }
         rig.end(
                 lost > 0 ? Rig.BROKEN : Rig.HELD,
-                done + " of " + ROUNDS + " moves done, " + lost + " committed writes missing in the reads of their sessions; " + example);
+                done + " of " + round + " moves done, " + lost + " committed writes missing in the reads of their sessions; " + example);
     }
 
     private static String key(int number) {
--- a/review/src/review/PlanReload.java
+++ b/review/src/review/PlanReload.java
@@ -24,6 +24,10 @@
 
     public static void main(String[] arguments) throws Exception {
         rig = new Rig(Path.of(arguments[0]));
+        rig.guard(PlanReload::play);
+    }
+
+    private static void play() throws Exception {
         withCoordinator = "1".equals(System.getenv("KEEPER"));
         rig.group(0, 7);
         rig.group(1, 8);
--- a/review/src/review/Rig.java
+++ b/review/src/review/Rig.java
@@ -44,12 +44,12 @@
         record = new PrintWriter(Files.newBufferedWriter(caseFolder.resolve("record.txt")));
         discovery.waitMillis = 20_000;
         // Whatever happens, no process outlives this one.
-        Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::cleanUp));
         Thread limit = new Thread(() -> {
             sleep(112_000);
             note("over time: the case could not run");
             record.flush();
-            killAll();
+            cleanUp();
             Runtime.getRuntime().halt(COULD_NOT_RUN);
         });
         limit.setDaemon(true);
@@ -76,6 +76,20 @@
         System.exit(code);
     }
 
+    /** The play of a case. */
+    interface Play {
+        void run() throws Exception;
+    }
+
+    /** Runs the play; one that fails itself is a case that could not run. */
+    void guard(Play play) {
+        try {
+            play.run();
+        } catch (Exception | Error e) {
+            end(COULD_NOT_RUN, "the case itself failed: " + e);
+        }
+    }
+
     // ---- Processes
 
     /** Returns the run line of the deploy file, with arguments behind it. */
@@ -275,12 +289,19 @@
             }
         }
         record.flush();
+    }
+
+    /** Ends all processes and removes the work folder. */
+    private void cleanUp() {
+        killAll();
         try (var files = Files.walk(folder)) {
             List<Path> all = new ArrayList<>(files.toList());
             java.util.Collections.reverse(all);
             for (Path file : all) {
                 Files.deleteIfExists(file);
             }
+        } catch (IOException e) {
+            System.err.println("the work folder stays: " + e);
         }
     }
 }
