Log on which grounds the coordinator takes a tenant's writes for drained

The coordinator now keeps the grounds (DrainEvidence) and logs them with the sealed step: how many reports, the oldest version under which one was made, the fence's version, and how many leases had expired. No behaviour changes.

--- a/src/main/java/beaconladder/cells/Migration.java
+++ b/src/main/java/beaconladder/cells/Migration.java
@@ -26,6 +26,8 @@
     private List<Long> fences = List.of();
     /** Since when no write of the tenant is in flight or may still run in the old cell; Long.MIN_VALUE if not yet. */
     private long writesDrainedSinceNanos = Long.MIN_VALUE;
+    /** The grounds for that, or null. */
+    private DrainEvidence drainEvidence;
     /** The reason of a requested undo, or null. */
     private String undoReason;
 
@@ -104,8 +106,13 @@
         return writesDrainedSinceNanos;
     }
 
-    void setWritesDrained(long nowNanos) {
+    void setWritesDrained(long nowNanos, DrainEvidence evidence) {
         writesDrainedSinceNanos = nowNanos;
+        drainEvidence = evidence;
+    }
+
+    DrainEvidence drainEvidence() {
+        return drainEvidence;
     }
 
     String undoReason() {
--- a/src/main/java/beaconladder/cells/RouterLeases.java
+++ b/src/main/java/beaconladder/cells/RouterLeases.java
@@ -20,6 +20,9 @@
         private long earlierWritesEndNanos;
 
         private Map<String, WriteActivity> activity = Map.of();
+        /** The version of the placement under which that activity was reported; -1 for none. */
+        private long activityVersion = -1;
+
         private long lastReportNanos = Long.MIN_VALUE;
 
         boolean mayActOnOlderVersion(long version, long nowNanos) {
@@ -77,6 +80,7 @@
         state.incarnation = step.detail();
         state.appliedVersion = -1;
         state.activity = Map.of();
+        state.activityVersion = -1;
     }
 
     /**
@@ -90,6 +94,7 @@
         Map<String, WriteActivity> byTenant = new LinkedHashMap<>();
         activity.forEach(entry -> byTenant.put(entry.tenant(), entry));
         state.activity = byTenant;
+        state.activityVersion = appliedVersion;
         state.lastReportNanos = nowNanos;
         state.leaseEndNanos = Math.max(state.leaseEndNanos, nowNanos + leaseNanos);
         return nowNanos + leaseNanos;
@@ -126,6 +131,26 @@
         });
     }
 
+    /**
+     * Returns on which grounds {@link #areWritesDrained} is true for a tenant.
+     *
+     * @param fenceVersion the version of the placement that stops the tenant's writes
+     */
+    DrainEvidence drainEvidence(String tenant, long fenceVersion) {
+        int reports = 0;
+        int expiredLeases = 0;
+        long oldestVersion = Long.MAX_VALUE;
+        for (RouterState router : routers.values()) {
+            if (router.appliedVersion < fenceVersion) {
+                expiredLeases++;
+            } else {
+                reports++;
+                oldestVersion = Math.min(oldestVersion, router.activityVersion);
+            }
+        }
+        return new DrainEvidence(tenant, fenceVersion, reports, oldestVersion, expiredLeases);
+    }
+
     /** Returns the newest commit of the tenant in this slot that any router has reported; Long.MIN_VALUE for none. */
     long newestCommit(String tenant, int slot) {
         long newest = Long.MIN_VALUE;
--- a/src/main/java/beaconladder/cells/TenantMigrations.java
+++ b/src/main/java/beaconladder/cells/TenantMigrations.java
@@ -234,6 +234,12 @@
                 .toList();
     }
 
+    /** Returns why the tenant's writes in the old cell count as drained; null if they don't or none is under way. */
+    public DrainEvidence drainEvidence(String tenant) {
+        Migration migration = state.migrations().get(tenant);
+        return migration == null ? null : migration.drainEvidence();
+    }
+
     /** Returns the final steps of the last migrations that have ended, oldest first. */
     public List<MigrationStep> endedMigrations() {
         return List.copyOf(state.endedMigrations());
--- a/src/main/java/beaconladder/coordinator/Coordinator.java
+++ b/src/main/java/beaconladder/coordinator/Coordinator.java
@@ -181,6 +181,9 @@
         if (step.kind() == Kind.DONE || step.kind() == Kind.UNDONE) {
             unnotifiedEnds.add(step);
         }
+        if (step.kind() == Kind.SEALED) {
+            LOG.info("{}", migrations.drainEvidence(step.tenant()));
+        }
         if (step.kind() != Kind.LEASE && step.kind() != Kind.PLACED) {
             LOG.info(
                     "{} {}{}{}",
