Weigh a router's report by the version that it was made under, however late it arrives

Cause: RouterLeases.grant kept the newest version of all reports beside the writes in flight of the report that arrived last. A report from before the fence that arrived behind newer ones ended the fence while writes were under way. handlePlacement also recorded each report a second time at the end of its wait, when a newer one may have come meanwhile.

Change: a report under an older version than has arrived before does not count (and is logged); of two under one version the commits add up; the end of a wait grants a lease and records no report. It works because a router never returns to an older version, so the version orders its reports, and because no write starts inside a fence, so "none in flight" stays true. Nothing on the wire changes, reports of all builds are weighed alike.

MigrationSimulation is split into itself and SimulatedRouter, Coordinator into itself and StepRecorder, the check of a proposal has its own file MigrationEligibility.

--- a/src/main/java/beaconladder/cells/MigrationTransitions.java
+++ b/src/main/java/beaconladder/cells/MigrationTransitions.java
@@ -83,8 +83,7 @@
         }
         if (!migration.areWritesDrained()
                 && routerLeases.areWritesDrained(migration.tenant, migration.version(), nowNanos)) {
-            migration.setWritesDrained(
-                    nowNanos, routerLeases.drainEvidence(migration.tenant, migration.version()));
+            migration.setWritesDrained(nowNanos, routerLeases.drainEvidence(migration.tenant, migration.version()));
         }
         if (migration.hasSourceChanged()) {
             // The new primary may lack writes that were committed, or writes that were already copied.
--- a/src/main/java/beaconladder/cells/RouterLeases.java
+++ b/src/main/java/beaconladder/cells/RouterLeases.java
@@ -1,6 +1,7 @@
 package beaconladder.cells;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,15 +14,15 @@
 final class RouterLeases {
     private static final class RouterState {
         private String incarnation;
+        /** The newest version of the placement that a report was made under; -1 before the first report. */
         private long appliedVersion = -1;
         /** Until when the router may act on an older version. */
         private long leaseEndNanos;
         /** Until when a host may still run writes that an earlier incarnation sent. */
         private long earlierWritesEndNanos;
 
+        /** By tenant, the write activity of the last report under the applied version. */
         private Map<String, WriteActivity> activity = Map.of();
-        /** The version of the placement under which that activity was reported; -1 for none. */
-        private long activityVersion = -1;
 
         private long lastReportNanos = Long.MIN_VALUE;
 
@@ -80,22 +81,39 @@
         state.incarnation = step.detail();
         state.appliedVersion = -1;
         state.activity = Map.of();
-        state.activityVersion = -1;
     }
 
     /**
-     * Records the report of a registered router and extends its lease.
+     * Records the report of a registered router, unless one under a newer version has arrived before: a router never
+     * returns to an older version, so that report was made later.
+     *
+     * @return whether the report counts
+     */
+    boolean record(RouterReport report, long nowNanos) {
+        RouterState state = routers.get(report.router());
+        if (report.version() < state.appliedVersion) {
+            return false;
+        }
+        // Of two reports under one version, either may have been made first: commits add up. While a tenant is fenced,
+        // no write starts, so a report of none in flight stays true whichever comes last.
+        Map<String, WriteActivity> previous = report.version() == state.appliedVersion ? state.activity : Map.of();
+        Map<String, WriteActivity> next = new HashMap<>();
+        for (WriteActivity entry : report.activity()) {
+            next.put(entry.tenant(), entry.withCommitsOf(previous.get(entry.tenant())));
+        }
+        state.appliedVersion = report.version();
+        state.activity = next;
+        state.lastReportNanos = nowNanos;
+        return true;
+    }
+
+    /**
+     * Extends the lease of a registered router.
      *
      * @return the end of the lease
      */
-    long grant(String router, long appliedVersion, List<WriteActivity> activity, long nowNanos) {
+    long grant(String router, long nowNanos) {
         RouterState state = routers.get(router);
-        state.appliedVersion = Math.max(state.appliedVersion, appliedVersion);
-        Map<String, WriteActivity> byTenant = new LinkedHashMap<>();
-        activity.forEach(entry -> byTenant.put(entry.tenant(), entry));
-        state.activity = byTenant;
-        state.activityVersion = appliedVersion;
-        state.lastReportNanos = nowNanos;
         state.leaseEndNanos = Math.max(state.leaseEndNanos, nowNanos + leaseNanos);
         return nowNanos + leaseNanos;
     }
@@ -145,7 +163,7 @@
                 expiredLeases++;
             } else {
                 reports++;
-                oldestVersion = Math.min(oldestVersion, router.activityVersion);
+                oldestVersion = Math.min(oldestVersion, router.appliedVersion);
             }
         }
         return new DrainEvidence(tenant, fenceVersion, reports, oldestVersion, expiredLeases);
@@ -156,8 +174,8 @@
         long newest = Long.MIN_VALUE;
         for (RouterState router : routers.values()) {
             WriteActivity activity = router.activity.get(tenant);
-            if (activity != null && slot < activity.newestCommits().size()) {
-                newest = Math.max(newest, activity.newestCommits().get(slot));
+            if (activity != null) {
+                newest = Math.max(newest, activity.newestCommit(slot));
             }
         }
         return newest;
--- a/src/main/java/beaconladder/cells/TenantMigrations.java
+++ b/src/main/java/beaconladder/cells/TenantMigrations.java
@@ -98,7 +98,7 @@
      * @throws MigrationRejectedException if the tenant can't be migrated to this cell now
      */
     public MigrationStep propose(String tenant, String toCell, String requester, long nowNanos) {
-        String rejection = rejection(tenant, toCell);
+        String rejection = MigrationEligibility.rejection(state, tenant, toCell);
         if (rejection != null) {
             throw new MigrationRejectedException(rejection);
         }
@@ -106,40 +106,6 @@
         return MigrationStep.of(Kind.PROPOSED, tenant, fromCell, toCell, nowNanos, requester);
     }
 
-    private String rejection(String tenant, String toCell) {
-        Plan.Tenant declared = state.staticPlacement().tenant(tenant);
-        if (declared == null) {
-            return "no tenant '" + tenant + "' is stated in the plan";
-        }
-        if (declared.fixed()) {
-            return tenant + " is fixed and can't be moved";
-        }
-        if (state.staticPlacement().cellIndex(toCell) < 0) {
-            return "no cell '" + toCell + "' is stated in the plan";
-        }
-        Migration current = state.migrations().get(tenant);
-        if (current != null) {
-            return tenant + " is being moved to " + current.toCell + " (" + current.state() + ")";
-        }
-        TenantPlacement placement = state.placements().get(tenant);
-        if (placement == null) {
-            return tenant + " has no seat yet";
-        }
-        String fromCell = placement.cell();
-        if (fromCell.equals(toCell)) {
-            return tenant + " lives in " + toCell + " as it is";
-        }
-        if (slots(fromCell) != slots(toCell)) {
-            return fromCell + " has " + slots(fromCell) + " groups and " + toCell + " has " + slots(toCell)
-                    + "; a move needs as many";
-        }
-        return null;
-    }
-
-    private int slots(String cell) {
-        return state.staticPlacement().groupsOf(cell).size();
-    }
-
     /**
      * Requests that the next step of a migration undoes it.
      *
@@ -169,16 +135,21 @@
     }
 
     /**
-     * Records the report of a registered router and grants it a lease on the current placement.
+     * Records the report of a registered router. It may arrive late, twice or out of order.
      *
-     * @param appliedVersion the version of the placement that the router acts on
-     * @param activity the write activity of each tenant under migration
+     * @return whether the report counts; one that is older than another that has arrived does not
      */
-    public PlacementTable grantLease(String router, long appliedVersion, List<WriteActivity> activity, long nowNanos) {
-        long validUntilNanos =
-                routerLeases.grant(router, Math.min(appliedVersion, state.version()), activity, nowNanos);
+    public boolean recordReport(RouterReport report, long nowNanos) {
+        return routerLeases.record(report.withVersionUpTo(state.version()), nowNanos);
+    }
+
+    /** Grants a registered router a lease on the current placement. */
+    public PlacementTable grantLease(String router, long nowNanos) {
         return new PlacementTable(
-                state.version(), validUntilNanos, state.staticPlacement().fingerprint(), state.placements());
+                state.version(),
+                routerLeases.grant(router, nowNanos),
+                state.staticPlacement().fingerprint(),
+                state.placements());
     }
 
     /** Records the state of the hosts of one slot of a migration. */
--- a/src/main/java/beaconladder/coordinator/Coordinator.java
+++ b/src/main/java/beaconladder/coordinator/Coordinator.java
@@ -4,22 +4,19 @@
 import beaconladder.cells.MigrationStep;
 import beaconladder.cells.MigrationStep.Kind;
 import beaconladder.cells.PlacementTable;
+import beaconladder.cells.RouterReport;
 import beaconladder.cells.SlotQuery;
 import beaconladder.cells.StaticPlacement;
 import beaconladder.cells.TenantMigrations;
-import beaconladder.cells.WriteActivity;
 import beaconladder.discovery.EndpointWatch;
 import beaconladder.plan.Plan;
 import beaconladder.plan.PlanReader;
 import beaconladder.storage.DurableRecords;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -37,15 +34,12 @@
     private static final int MAX_WAIT_MILLIS = 30_000;
 
     private final Path planFile;
-    private final DurableRecords records;
     private final TenantMigrations migrations;
+    private final StepRecorder recorder;
     private final HostQueries hostQueries = new HostQueries();
     private final EndpointWatch endpointWatch;
     private final CoordinatorEndpoint endpoint;
     private final Thread migrationLoop = new Thread(new MigrationLoop(this, hostQueries), "migration-loop");
-    /** Final steps of migrations whose hosts have not been notified yet; not stored. */
-    private final List<MigrationStep> unnotifiedEnds = new ArrayList<>();
-
     private volatile boolean closed;
 
     /**
@@ -58,24 +52,18 @@
         if (plan.coordinator() == null) {
             throw new IOException(planFile + " states no keeper");
         }
-        records = DurableRecords.open(Path.of(plan.coordinator().recordsDirectory()));
         migrations = new TenantMigrations(new StaticPlacement(plan));
+        recorder = new StepRecorder(
+                DurableRecords.open(Path.of(plan.coordinator().recordsDirectory())), migrations, this::notifyAll);
         try {
-            for (byte[] record : records.recovered()) {
-                migrations.apply(CoordinatorProtocol.fromJson(record, MigrationStep.class));
-            }
-            migrations.recoveryCompleted(nowNanos());
+            recorder.recover(nowNanos());
             endpoint = new CoordinatorEndpoint(plan.coordinator().address());
         } catch (IOException | RuntimeException e) {
-            records.close();
+            recorder.close();
             throw e instanceof IOException error
                     ? error
                     : new IOException("a stored record can't be read or applied: " + e, e);
         }
-        LOG.info(
-                "recovered {} records, {} migrations under way",
-                records.recovered().size(),
-                migrations.statuses(nowNanos()).size());
         endpointWatch = new EndpointWatch(plan.coordinator().discoveryAddress(), hostQueries);
         endpoint.register("/v1/placement", this::handlePlacement);
         endpoint.register("/v1/cells", parameters -> handleCells());
@@ -122,7 +110,7 @@
             recordDueSteps();
             for (Plan.Relocation relocation : plan.relocations()) {
                 try {
-                    recordStep(migrations.propose(
+                    recorder.record(migrations.propose(
                             relocation.tenant(), relocation.targetCell(), planFile.toString(), nowNanos()));
                 } catch (IllegalArgumentException e) {
                     LOG.info(
@@ -152,10 +140,9 @@
         recordDueSteps();
         List<SlotQuery> queries = migrations.slotQueries();
         Map<SlotQuery, Boolean> endedCopies = new LinkedHashMap<>();
-        for (MigrationStep endStep : unnotifiedEnds) {
+        for (MigrationStep endStep : recorder.takeEnds()) {
             migrations.slotQueries(endStep).forEach(query -> endedCopies.put(query, endStep.kind() == Kind.UNDONE));
         }
-        unnotifiedEnds.clear();
         return new Round(queries, endedCopies);
     }
 
@@ -163,40 +150,9 @@
         migrations.recordObservation(query.tenant(), query.slot(), observation);
     }
 
-    /** Records and applies all steps that are due; replaces the records by a snapshot when there are enough. */
+    /** Records and applies all steps that are due. */
     synchronized void recordDueSteps() throws IOException {
-        long nowNanos = nowNanos();
-        for (MigrationStep step = migrations.nextStep(nowNanos); step != null; step = migrations.nextStep(nowNanos)) {
-            recordStep(step);
-        }
-        List<MigrationStep> snapshot = migrations.snapshot(nowNanos);
-        if (snapshot != null) {
-            records.replace(snapshot.stream().map(Coordinator::serialize).toList());
-        }
-    }
-
-    private void recordStep(MigrationStep step) throws IOException {
-        records.append(serialize(step));
-        migrations.apply(step);
-        if (step.kind() == Kind.DONE || step.kind() == Kind.UNDONE) {
-            unnotifiedEnds.add(step);
-        }
-        if (step.kind() == Kind.SEALED) {
-            LOG.info("{}", migrations.drainEvidence(step.tenant()));
-        }
-        if (step.kind() != Kind.LEASE && step.kind() != Kind.PLACED) {
-            LOG.info(
-                    "{} {}{}{}",
-                    step.kind().name().toLowerCase(Locale.ROOT),
-                    step.tenant(),
-                    step.toCell() == null ? "" : " from " + step.fromCell() + " to " + step.toCell(),
-                    step.detail() == null ? "" : ": " + step.detail());
-        }
-        notifyAll();
-    }
-
-    private static byte[] serialize(MigrationStep step) {
-        return CoordinatorProtocol.toJson(step).getBytes(StandardCharsets.UTF_8);
+        recorder.recordDueSteps(nowNanos());
     }
 
     // ---- Requests -----------------------------------------------------------------------------------------
@@ -207,22 +163,26 @@
      */
     private synchronized String handlePlacement(Map<String, String> parameters)
             throws IOException, InterruptedException {
-        String router = CoordinatorEndpoint.requiredName(parameters, "router");
-        String incarnation = CoordinatorEndpoint.requiredName(parameters, "run");
-        long version = Long.parseLong(CoordinatorEndpoint.requiredName(parameters, "version"));
+        RouterReport report = CoordinatorProtocol.parseReport(parameters);
         long waitMillis = Math.min(MAX_WAIT_MILLIS, Long.parseLong(parameters.getOrDefault("wait", "0")));
-        List<WriteActivity> activity = CoordinatorProtocol.parseWriteActivity(parameters.getOrDefault("busy", ""));
-        MigrationStep registration = migrations.registration(router, incarnation, nowNanos());
+        MigrationStep registration = migrations.registration(report.router(), report.incarnation(), nowNanos());
         if (registration != null) {
-            recordStep(registration);
+            recorder.record(registration);
         }
-        migrations.grantLease(router, version, activity, nowNanos());
+        if (!migrations.recordReport(report, nowNanos())) {
+            LOG.info("a report of {} under version {} came late and does not count", report.router(), report.version());
+        }
+        awaitVersionAfter(report.version(), waitMillis);
+        // The report is not recorded again: a newer one may have come meanwhile.
+        PlacementTable placement = migrations.grantLease(report.router(), nowNanos());
+        return CoordinatorProtocol.toJson(placement, placement.version() != report.version());
+    }
+
+    private void awaitVersionAfter(long version, long waitMillis) throws InterruptedException {
         long deadlineNanos = System.nanoTime() + waitMillis * NANOS_PER_MILLI;
         while (!closed && migrations.version() <= version && System.nanoTime() < deadlineNanos) {
             wait(Math.max(1, (deadlineNanos - System.nanoTime()) / NANOS_PER_MILLI));
         }
-        PlacementTable placement = migrations.grantLease(router, version, activity, nowNanos());
-        return CoordinatorProtocol.toJson(placement, placement.version() != version);
     }
 
     private synchronized String handleCells() {
@@ -230,7 +190,7 @@
     }
 
     private synchronized String handleMove(Map<String, String> parameters) throws IOException {
-        recordStep(migrations.propose(
+        recorder.record(migrations.propose(
                 CoordinatorEndpoint.requiredName(parameters, "tenant"),
                 CoordinatorEndpoint.requiredName(parameters, "to"),
                 "an operator",
@@ -253,6 +213,6 @@
         endpointWatch.stop();
         hostQueries.close();
         endpoint.close();
-        records.close();
+        recorder.close();
     }
 }
--- a/src/main/java/beaconladder/coordinator/CoordinatorProtocol.java
+++ b/src/main/java/beaconladder/coordinator/CoordinatorProtocol.java
@@ -1,6 +1,7 @@
 package beaconladder.coordinator;
 
 import beaconladder.cells.PlacementTable;
+import beaconladder.cells.RouterReport;
 import beaconladder.cells.TenantMigrations;
 import beaconladder.cells.WriteActivity;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -10,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 
 /** The JSON that a coordinator stores and exchanges with routers and operators; docs/cells.md specifies it. */
 final class CoordinatorProtocol {
@@ -93,7 +95,23 @@
         return MAPPER.createObjectNode();
     }
 
-    /** Parses a router's report: comma-separated entries tenant:writes:commit:commit..., with commits in ms by slot. */
+    /**
+     * Parses the report in a router's call.
+     *
+     * @throws IllegalArgumentException if a parameter is missing or invalid
+     */
+    static RouterReport parseReport(Map<String, String> parameters) {
+        return new RouterReport(
+                CoordinatorEndpoint.requiredName(parameters, "router"),
+                CoordinatorEndpoint.requiredName(parameters, "run"),
+                Long.parseLong(CoordinatorEndpoint.requiredName(parameters, "version")),
+                parseWriteActivity(parameters.getOrDefault("busy", "")));
+    }
+
+    /**
+     * Parses a router's write activity: comma-separated entries tenant:writes:commit:commit..., with commits in ms by
+     * slot.
+     */
     static List<WriteActivity> parseWriteActivity(String text) {
         List<WriteActivity> activity = new ArrayList<>();
         for (String entry : text.isEmpty() ? new String[0] : text.split(",")) {
--- a/src/test/java/beaconladder/cells/MigrationSimulation.java
+++ b/src/test/java/beaconladder/cells/MigrationSimulation.java
@@ -3,14 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import beaconladder.cells.MigrationStep.Kind;
-import beaconladder.routing.api.Router.HostReport;
-import beaconladder.routing.api.Router.Outcome;
-import beaconladder.routing.api.Router.Role;
-import beaconladder.routing.state.Attempt;
-import beaconladder.routing.state.Group;
-import beaconladder.routing.state.Host;
-import beaconladder.routing.state.Request;
-import beaconladder.routing.state.RequestClass;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -19,76 +11,51 @@
 
 /**
  * Simulates one migration with three routers in virtual time, from a seed. The coordinator crashes at random points;
- * routers stall, restart, and lose placements or receive them late; writes run long after they were sent. It checks
- * that no write runs in the old cell after the fence, and none in the new cell before the switch.
+ * routers stall, restart, and lose placements or receive them late; their reports arrive late, twice and out of order,
+ * also those of an earlier run; writes run long after they were sent. It checks that no write runs in the old cell
+ * after the fence, and none in the new cell before the switch.
  */
 final class MigrationSimulation {
     private static final long MS = 1_000_000;
+    /** Longer than a lease and the expiry of a write together. */
+    private static final int MAX_CALL_DELAY_MILLIS = 600;
+
+    private static final int MAX_COPY_MILLIS = 500;
 
     private final SplittableRandom random;
     private final List<MigrationStep> records = new ArrayList<>();
     private final List<SimulatedRouter> routers = new ArrayList<>();
     private final List<Long> runTimesInA = new ArrayList<>();
     private final List<Long> runTimesInB = new ArrayList<>();
-    private final RequestClass writeClass = RequestClass.parse(Map.of(
-                    "request_classes.count",
-                    "1",
-                    "family_info.freshness",
-                    "update",
-                    "request_classes.0.effect",
-                    "side_effect",
-                    "request_classes.0.give_up_us",
-                    "300000"))
-            .get(0);
     private TenantMigrations coordinator;
     private final StaticPlacement staticPlacement;
     private final long startNanos;
     private long nowNanos;
     private long copiedNanos;
+    private long copyCloseAtNanos = Long.MAX_VALUE;
     private String sourcePrimary = "s0";
     private boolean sourceUp = true;
     private final int seed;
+    /** Few writes: some reports show one in flight and others none. Many writes: there is nearly always one. */
+    private final int roundsPerWrite;
 
-    private final class SimulatedRouter {
-        private final String name;
-        private int incarnation;
-        private CellAdmission admission;
-        private long stalledUntilNanos;
-        private final List<Delivery> inbox = new ArrayList<>();
-        private final List<Request> admitted = new ArrayList<>();
-
-        SimulatedRouter(String name) {
-            this.name = name;
-            restart();
-        }
-
-        /** Starts a new incarnation: writes already sent may still run, all other state is lost. */
-        void restart() {
-            incarnation++;
-            admission = new CellAdmission(name, staticPlacement, new RouterCapacity(100, 100, 1 << 20));
-            inbox.clear();
-            admitted.clear();
-        }
-    }
-
-    /** A placement that a router receives at its arrival time. */
-    private record Delivery(long arrivalNanos, PlacementTable placement) {}
+    /** A call of a router to the coordinator, which may arrive late, twice or behind newer ones. */
+    private record CallInTransit(long arrivalNanos, SimulatedRouter router, RouterReport report) {}
 
-    /** A write sent to a host or queued there; it runs at its time unless it has expired by then. */
-    private record WriteInTransit(
-            long runsAtNanos, long expiryNanos, int cell, SimulatedRouter router, int incarnation, Request request) {}
-
-    private final List<WriteInTransit> inTransit = new ArrayList<>();
+    private final List<CallInTransit> calls = new ArrayList<>();
+    /** Writes sent to a host or queued there; each runs at its time unless it has expired by then. */
+    private final List<SimulatedRouter.WriteInTransit> inTransit = new ArrayList<>();
 
     MigrationSimulation(StaticPlacement staticPlacement, long startNanos, int seed) {
         this.staticPlacement = staticPlacement;
         this.startNanos = startNanos;
         nowNanos = startNanos;
         this.seed = seed;
+        roundsPerWrite = seed % 2 == 0 ? 30 : 3;
         random = new SplittableRandom(seed);
         coordinator = new TenantMigrations(staticPlacement);
         for (int i = 0; i < 3; i++) {
-            routers.add(new SimulatedRouter("n" + i));
+            routers.add(new SimulatedRouter("n" + i, staticPlacement));
         }
     }
 
@@ -102,8 +69,9 @@
             if (proposeAfterNanos > 0 && nowNanos > proposeAfterNanos) {
                 recordAndApply(coordinator.propose("t", "b", "me", nowNanos));
                 proposeAfterNanos = 0;
+                copyCloseAtNanos = nowNanos + random.nextInt(MAX_COPY_MILLIS) * MS;
             }
-            if (sourceUp) {
+            if (sourceUp && nowNanos > copyCloseAtNanos) {
                 copiedNanos = Math.max(copiedNanos, nowNanos - random.nextInt(30) * MS);
             }
             coordinator.recordObservation(
@@ -124,6 +92,7 @@
                 sourcePrimary = sourceUp ? sourcePrimary + "x" : sourcePrimary;
             }
             routers.forEach(this::stepRouter);
+            answerArrivedCalls();
             runDueWrites();
             if (seed % 7 == 0 && random.nextInt(400) == 0 && proposeAfterNanos == 0) {
                 try {
@@ -148,126 +117,71 @@
     }
 
     private void stepRouter(SimulatedRouter router) {
-        if (nowNanos < router.stalledUntilNanos) {
+        if (router.isStalled(nowNanos)) {
             return;
         }
         if (random.nextInt(250) == 0) {
-            router.stalledUntilNanos = nowNanos + random.nextInt(900) * MS;
+            router.stallUntil(nowNanos + random.nextInt(900) * MS);
             return;
         }
         if (random.nextInt(400) == 0) {
             router.restart();
         }
         if (random.nextInt(4) == 0) {
-            MigrationStep registration =
-                    coordinator.registration(router.name, String.valueOf(router.incarnation), nowNanos);
-            if (registration != null) {
-                recordAndApply(registration);
-            }
-            PlacementTable granted = coordinator.grantLease(
-                    router.name,
-                    router.admission.placement().version(),
-                    router.admission.writeActivity(nowNanos),
-                    nowNanos);
-            PlacementTable copy = new PlacementTable(
-                    granted.version(),
-                    granted.validUntilNanos(),
-                    granted.planFingerprint(),
-                    Map.copyOf(granted.placements()));
-            if (random.nextInt(10) > 0) {
-                router.inbox.add(new Delivery(
-                        nowNanos + random.nextInt(random.nextInt(20) == 0 ? 400 : 10) * MS, copy));
-            }
+            send(router, router.report(nowNanos));
         }
-        router.inbox.removeIf(delivery -> {
-            boolean due = delivery.arrivalNanos() <= nowNanos;
-            if (due) {
-                router.admission.applyPlacement(delivery.placement());
-            }
-            return due;
-        });
-        if (random.nextInt(3) == 0) {
-            AdmissionDecision decision = router.admission.admit(
-                    new AdmissionRequest("t", 1, 0, true, 1, 50, null, nowNanos, nowNanos + 300 * MS), nowNanos);
-            if (decision.kind() == AdmissionDecision.Kind.ADMIT) {
-                Request request = new Request(
-                        nowNanos,
-                        writeClass,
-                        new Group(decision.permit().group()),
-                        1,
-                        0,
-                        0,
-                        false,
-                        nowNanos,
-                        nowNanos + 300 * MS,
-                        nowNanos);
-                router.admission.requestStarted(request, decision.permit());
-                router.admitted.add(request);
-            } else if (decision.kind() == AdmissionDecision.Kind.QUEUE) {
-                router.admission.release(decision.permit());
-            }
+        router.applyArrivedPlacements(nowNanos);
+        router.admitAndSendWrites(random, roundsPerWrite, nowNanos, inTransit);
+    }
+
+    private void send(SimulatedRouter router, RouterReport report) {
+        calls.add(new CallInTransit(nowNanos + callDelayNanos(random.nextInt(5) == 0), router, report));
+        if (random.nextInt(5) == 0) {
+            calls.add(new CallInTransit(nowNanos + callDelayNanos(true), router, report));
         }
-        // Each admitted request waits for some rounds, is checked again, and is then sent.
-        for (Request request : List.copyOf(router.admitted)) {
-            if (random.nextInt(4) == 0) {
-                router.admitted.remove(request);
-                if (router.admission.isStillAdmitted(request, nowNanos) && nowNanos < request.expiryNanos) {
-                    request.attempts.add(new Attempt(request, 0, new Host(0, request.group, 0), nowNanos, 1));
-                    inTransit.add(new WriteInTransit(
-                            nowNanos + random.nextInt(random.nextInt(5) == 0 ? 350 : 20) * MS,
-                            request.expiryNanos,
-                            request.group.id,
-                            router,
-                            router.incarnation,
-                            request));
-                } else {
-                    router.admission.requestEnded(request);
-                }
-            }
+    }
+
+    private long callDelayNanos(boolean late) {
+        return random.nextInt(late ? MAX_CALL_DELAY_MILLIS : 3) * MS;
+    }
+
+    private void answerArrivedCalls() {
+        List<CallInTransit> arrived =
+                calls.stream().filter(call -> call.arrivalNanos() <= nowNanos).toList();
+        calls.removeAll(arrived);
+        arrived.forEach(this::answer);
+    }
+
+    private void answer(CallInTransit call) {
+        RouterReport report = call.report();
+        MigrationStep registration = coordinator.registration(report.router(), report.incarnation(), nowNanos);
+        if (registration != null) {
+            recordAndApply(registration);
+        }
+        coordinator.recordReport(report, nowNanos);
+        PlacementTable granted = coordinator.grantLease(report.router(), nowNanos);
+        if (random.nextInt(10) > 0) {
+            call.router()
+                    .deliver(
+                            report.incarnation(),
+                            nowNanos + random.nextInt(random.nextInt(20) == 0 ? 400 : 10) * MS,
+                            granted);
         }
     }
 
     private void runDueWrites() {
         inTransit.removeIf(write -> {
-            Attempt attempt = write.request().attempts.get(0);
-            if (!write.request().ended
-                    && write.router().incarnation == write.incarnation()
-                    && random.nextInt(12) == 0) {
-                // The client disconnects: the attempt is cancelled, but a host may still run it.
-                write.request().ended = true;
-                write.router().admission.requestEnded(write.request());
-                attempt.ended = true;
-                write.router().admission.attemptEnded(attempt, Outcome.CANCELLED, HostReport.EMPTY, nowNanos);
+            if (random.nextInt(12) == 0) {
+                write.cancelByClient(nowNanos);
             }
-            boolean isSameIncarnation = write.router().incarnation == write.incarnation();
             if (write.runsAtNanos() > nowNanos) {
-                // The router ends the attempt at its expiry; the host may still run it until then.
-                if (isSameIncarnation && nowNanos >= write.expiryNanos() && !write.request().ended) {
-                    write.request().ended = true;
-                    write.router().admission.attemptEnded(attempt, Outcome.TIMED_OUT, HostReport.EMPTY, nowNanos);
-                    write.router().admission.requestEnded(write.request());
-                }
+                write.timeOutIfExpired(nowNanos);
                 return false;
             }
             if (write.runsAtNanos() <= write.expiryNanos()) {
-                if (write.cell() == 0) {
-                    runTimesInA.add(write.runsAtNanos());
-                } else {
-                    runTimesInB.add(write.runsAtNanos());
-                }
-            }
-            if (isSameIncarnation && !write.request().ended) {
-                write.request().ended = true;
-                boolean answered = random.nextInt(8) > 0;
-                write.router()
-                        .admission
-                        .attemptEnded(
-                                attempt,
-                                answered ? Outcome.COMMITTED : Outcome.RESET,
-                                answered ? new HostReport(Role.PRIMARY, write.runsAtNanos(), -1) : HostReport.EMPTY,
-                                nowNanos);
-                write.router().admission.requestEnded(write.request());
+                (write.cell() == 0 ? runTimesInA : runTimesInB).add(write.runsAtNanos());
             }
+            write.end(random.nextInt(8) > 0, nowNanos);
             return true;
         });
     }
--- a/src/test/java/beaconladder/cells/TenantMigrationsTest.java
+++ b/src/test/java/beaconladder/cells/TenantMigrationsTest.java
@@ -33,6 +33,13 @@
                 atNanos, sourcePrimary, sourcePosition, targetPrimary, atNanos, List.of(copiedNanos, copiedNanos + MS));
     }
 
+    /** Records a report of the router n0 and grants it a lease. */
+    private static void report(
+            TenantMigrations migrations, String incarnation, long version, WriteActivity activity, long nowNanos) {
+        migrations.recordReport(new RouterReport("n0", incarnation, version, List.of(activity)), nowNanos);
+        migrations.grantLease("n0", nowNanos);
+    }
+
     private static void applyDueSteps(TenantMigrations migrations, StringBuilder trace, long nowNanos) {
         for (MigrationStep step = migrations.nextStep(nowNanos); step != null; step = migrations.nextStep(nowNanos)) {
             migrations.apply(step);
@@ -55,19 +62,19 @@
         migrations.recordObservation("t", 0, observation(START, "s", START, "d", Long.MIN_VALUE));
         applyDueSteps(migrations, trace, START + MS);
         long version = migrations.version();
-        migrations.grantLease("n0", version, List.of(new WriteActivity("t", 2, List.of(0L))), START + 2 * MS);
+        report(migrations, "1", version, new WriteActivity("t", 2, List.of(0L)), START + 2 * MS);
         migrations.recordObservation("t", 0, observation(START + 10 * MS, "s", START + 10 * MS, "d", START + 9 * MS));
         applyDueSteps(migrations, trace, START + 10 * MS);
         // The router has applied the fence with two writes in flight. Later it reports none, and a commit that is newer
         // than the source's position.
-        migrations.grantLease(
-                "n0", migrations.version(), List.of(new WriteActivity("t", 2, List.of(0L))), START + 20 * MS);
+        report(migrations, "1", migrations.version(), new WriteActivity("t", 2, List.of(0L)), START + 20 * MS);
         migrations.recordObservation("t", 0, observation(START + 25 * MS, "s", START + 25 * MS, "d", START + 25 * MS));
         applyDueSteps(migrations, trace, START + 30 * MS);
-        migrations.grantLease(
-                "n0",
+        report(
+                migrations,
+                "1",
                 migrations.version(),
-                List.of(new WriteActivity("t", 0, List.of(START + 50 * MS))),
+                new WriteActivity("t", 0, List.of(START + 50 * MS)),
                 START + 40 * MS);
         applyDueSteps(migrations, trace, START + 41 * MS);
         migrations.recordObservation("t", 0, observation(START + 45 * MS, "s", START + 45 * MS, "d", START + 49 * MS));
@@ -190,6 +197,55 @@
         }
     }
 
+    /** Guards against a fence that ends too early, or at a lower position, by a late report (review/1). */
+    @Test
+    void aLateReportIsWeighedByTheVersionThatItWasMadeUnder() {
+        TenantMigrations migrations = fencedMigration();
+        long fence = migrations.version();
+        report(migrations, "1", fence, new WriteActivity("t", 1, List.of(START + 5 * MS)), START + 20 * MS);
+        // From before the fence, and twice.
+        report(migrations, "1", fence - 1, new WriteActivity("t", 0, List.of(START)), START + 21 * MS);
+        report(migrations, "1", fence - 1, new WriteActivity("t", 0, List.of(START)), START + 22 * MS);
+        assertThat(waitsFor(migrations, START + 23 * MS)).isEqualTo("writes in hand");
+        report(migrations, "1", fence, new WriteActivity("t", 0, List.of(START + 90 * MS)), START + 30 * MS);
+        // From the fence, but from before the last commit.
+        report(migrations, "1", fence, new WriteActivity("t", 1, List.of(START + 5 * MS)), START + 31 * MS);
+        report(migrations, "1", fence, new WriteActivity("t", 0, List.of(START + 5 * MS)), START + 32 * MS);
+        StringBuilder trace = new StringBuilder();
+        applyDueSteps(migrations, trace, START + 33 * MS);
+        migrations.recordObservation("t", 0, observation(START + 40 * MS, "s", START + 40 * MS, "d", START + 80 * MS));
+        applyDueSteps(migrations, trace, START + 41 * MS);
+        assertThat(trace.toString())
+                .as("copied up to a position before the last commit")
+                .isEmpty();
+        migrations.recordObservation("t", 0, observation(START + 50 * MS, "s", START + 40 * MS, "d", START + 90 * MS));
+        applyDueSteps(migrations, trace, START + 51 * MS);
+        assertThat(trace.toString()).isEqualTo("51 SEALED t\n");
+        assertThat(migrations.drainEvidence("t")).isEqualTo(new DrainEvidence("t", fence, 1, fence, 0));
+    }
+
+    /** Returns a migration of t in its write fence since 2 ms, with a router whose lease ends at 201 ms. */
+    private static TenantMigrations fencedMigration() {
+        TenantMigrations migrations = new TenantMigrations(staticPlacement());
+        StringBuilder trace = new StringBuilder();
+        applyDueSteps(migrations, trace, START);
+        migrations.apply(migrations.registration("n0", "1", START));
+        report(migrations, "1", migrations.version(), new WriteActivity("t", 0, List.of()), START);
+        migrations.apply(migrations.propose("t", "b", "me", START));
+        migrations.recordObservation("t", 0, observation(START, "s", START, "d", START));
+        applyDueSteps(migrations, trace, START);
+        report(migrations, "1", migrations.version(), new WriteActivity("t", 1, List.of(START)), START + MS);
+        migrations.recordObservation("t", 0, observation(START + 2 * MS, "s", START, "d", START));
+        applyDueSteps(migrations, trace, START + 2 * MS);
+        assertThat(trace.toString()).endsWith("2 FENCED t\n");
+        return migrations;
+    }
+
+    private static String waitsFor(TenantMigrations migrations, long nowNanos) {
+        applyDueSteps(migrations, new StringBuilder(), nowNanos);
+        return migrations.statuses(nowNanos).get(0).waitsFor();
+    }
+
     /**
      * No write runs in the old cell after the fence or in the new cell before the switch; see
      * {@link MigrationSimulation} for the faults.
--- a/src/test/java/beaconladder/coordinator/StoredMigrationsTest.java
+++ b/src/test/java/beaconladder/coordinator/StoredMigrationsTest.java
@@ -6,6 +6,7 @@
 import beaconladder.cells.MigrationObservation;
 import beaconladder.cells.MigrationStep;
 import beaconladder.cells.MigrationStep.Kind;
+import beaconladder.cells.RouterReport;
 import beaconladder.cells.StaticPlacement;
 import beaconladder.cells.TenantMigrations;
 import beaconladder.cells.TenantPlacement;
@@ -84,9 +85,16 @@
 
     /** Reports drained writes and a complete copy at this time, and writes the steps that are due then. */
     private static void observeAsCopied(
-            TenantMigrations migrations, DurableRecords records, String tenant, long nowNanos) throws IOException {
-        migrations.grantLease(
-                "n0", migrations.version(), List.of(new WriteActivity(tenant, 0, List.of(START + MS))), nowNanos);
+            TenantMigrations migrations, DurableRecords records, String incarnation, String tenant, long nowNanos)
+            throws IOException {
+        migrations.recordReport(
+                new RouterReport(
+                        "n0",
+                        incarnation,
+                        migrations.version(),
+                        List.of(new WriteActivity(tenant, 0, List.of(START + MS)))),
+                nowNanos);
+        migrations.grantLease("n0", nowNanos);
         writeDueSteps(migrations, records, nowNanos);
         migrations.recordObservation(
                 tenant,
@@ -112,7 +120,7 @@
                 long startNanos = START + 1_000 * MS * i;
                 writeStep(migrations, records, migrations.propose(tenants[i], "b", "an operator", startNanos));
                 for (int observation = 0; observation < observations[i]; observation++) {
-                    observeAsCopied(migrations, records, tenants[i], startNanos + (observation + 1) * 10 * MS);
+                    observeAsCopied(migrations, records, "run1", tenants[i], startNanos + (observation + 1) * 10 * MS);
                 }
             }
         }
@@ -186,8 +194,8 @@
                             new TenantMigrations.MigrationStatus(
                                     "u", "a", "b", "switched", 1767225602042000000L, "word from n0"));
             writeStep(migrations, records, migrations.registration("n0", "run2", nowNanos));
-            observeAsCopied(migrations, records, "v", nowNanos);
-            observeAsCopied(migrations, records, "v", nowNanos + 10 * MS);
+            observeAsCopied(migrations, records, "run2", "v", nowNanos);
+            observeAsCopied(migrations, records, "run2", "v", nowNanos + 10 * MS);
         }
         List<String> after = storedLines(store);
         assertThat(after.subList(before, after.size()).stream().map(StoredMigrationsTest::kindAndTenant))
