Don't count a router's acknowledgement that arrives behind a newer one of the same run

AcknowledgementSummary kept the acknowledgement that arrived last, so a poll that was held up put a router back to the version before, in `feed status`, until its next poll. The order is now that of the versions: the newest one that a router has applied or rejected never decreases while it runs.

Test: AcknowledgementSummaryTest#anAcknowledgementThatArrivesBehindANewerOneOfTheSameRunDoesNotCount failed before and holds now.

--- a/src/main/java/beaconladder/feed/AcknowledgementSummary.java
+++ b/src/main/java/beaconladder/feed/AcknowledgementSummary.java
@@ -30,12 +30,10 @@
 
     private final Map<String, Entry> latest = new HashMap<>();
 
-    /**
-     * Records an acknowledgement, unless it is not countable, of an earlier incarnation or beyond the limit of routers.
-     */
+    /** Records an acknowledgement, unless it is not countable, outdated or beyond the limit of routers. */
     synchronized void record(Acknowledgement acknowledgement, long nowNanos) {
         Entry previous = latest.get(acknowledgement.router());
-        boolean outdated = previous != null && previous.acknowledgement().incarnation() > acknowledgement.incarnation();
+        boolean outdated = previous != null && acknowledgement.isOlderThan(previous.acknowledgement());
         if (!acknowledgement.countable() || outdated || previous == null && latest.size() >= MAX_ROUTERS) {
             return;
         }
--- a/src/test/java/beaconladder/feed/AcknowledgementSummaryTest.java
+++ b/src/test/java/beaconladder/feed/AcknowledgementSummaryTest.java
@@ -28,6 +28,21 @@
         assertThat(summary.report(5, 0, SECOND_NANOS).counts().get(0).applied()).isEqualTo(1);
     }
 
+    /** Guards against sums in which a version that is applied or rejected counts as neither, by a late poll. */
+    @Test
+    void anAcknowledgementThatArrivesBehindANewerOneOfTheSameRunDoesNotCount() {
+        AcknowledgementSummary summary = new AcknowledgementSummary();
+        summary.record(new Acknowledgement("a", 7, 4, 0, true), 0);
+        summary.record(new Acknowledgement("a", 7, 3, 0, true), 0);
+        summary.record(new Acknowledgement("b", 7, 3, 4, true), 0);
+        summary.record(new Acknowledgement("b", 7, 3, 0, true), 0);
+        assertThat(summary.report(4, 0, 0).counts())
+                .containsExactly(new RelayReport.Count(4, 1, 1), new RelayReport.Count(3, 1, 0));
+        summary.record(new Acknowledgement("b", 7, 5, 0, true), 0);
+        assertThat(summary.report(5, 0, 0).counts())
+                .containsExactly(new RelayReport.Count(5, 1, 0), new RelayReport.Count(4, 1, 0));
+    }
+
     @Test
     void aSilentRouterIsReportedAndLaterForgotten() {
         AcknowledgementSummary summary = new AcknowledgementSummary();
