Don't count a relay's report that arrives behind a newer one

RelayReports kept the report that arrived last and counted its age from the arrival, so a report that was held up put the fleet's sums back to older versions and kept them there for up to 2 s. A report under an older version than the relay's previous one is now ignored, and extends nothing. Of two reports under one version the last to arrive still counts.

Test: AcknowledgementSummaryTest#aRelaysReportThatArrivesBehindANewerOneDoesNotCountAndKeepsNothingAlive failed before and holds now.

--- a/src/main/java/beaconladder/feed/RelayReports.java
+++ b/src/main/java/beaconladder/feed/RelayReports.java
@@ -52,9 +52,17 @@
 
     private final Map<String, Entry> latest = new TreeMap<>();
 
-    /** Records a relay's report in place of its previous one; ignored beyond the limit of relays. */
+    /**
+     * Records a relay's report in place of its previous one; ignored beyond the limit of relays. A report under an
+     * older version than the previous one arrived late, as a relay never returns to an older version; it is ignored,
+     * too.
+     */
     synchronized void record(String relay, RelayReport report, long nowNanos) {
         removeExpired(nowNanos);
+        Entry previous = latest.get(relay);
+        if (previous != null && report.version() < previous.report().version()) {
+            return;
+        }
         if (latest.containsKey(relay) || latest.size() < MAX_RELAYS) {
             latest.put(relay, new Entry(report, nowNanos));
         }
--- a/src/test/java/beaconladder/feed/AcknowledgementSummaryTest.java
+++ b/src/test/java/beaconladder/feed/AcknowledgementSummaryTest.java
@@ -43,6 +43,18 @@
                 .containsExactly(new RelayReport.Count(5, 1, 0), new RelayReport.Count(4, 1, 0));
     }
 
+    /** Guards against a fleet's sums that fall back to an older version, by a late report of a relay. */
+    @Test
+    void aRelaysReportThatArrivesBehindANewerOneDoesNotCountAndKeepsNothingAlive() {
+        RelayReports leader = new RelayReports();
+        leader.record("a", new RelayReport(5, 0, List.of(new RelayReport.Count(5, 10, 0)), 0, 0), 0);
+        leader.record("a", new RelayReport(4, 0, List.of(new RelayReport.Count(4, 10, 0)), 0, 0), SECOND_NANOS);
+        assertThat(leader.summarize(VersionedState.empty(), SECOND_NANOS).counts())
+                .containsExactly(new RelayReport.Count(5, 10, 0));
+        assertThat(countApplied(leader, AcknowledgementSummary.REPORT_EXPIRY_NANOS + SECOND_NANOS / 2))
+                .isZero();
+    }
+
     @Test
     void aSilentRouterIsReportedAndLaterForgotten() {
         AcknowledgementSummary summary = new AcknowledgementSummary();
