Test of failing accepts: fail a number of accepts, not all for as long as the queries take

Cause: the test let every accept fail while 50 queries ran one after the other. A router retries every 50 ms and frees a descriptor from the eleventh failure in a row on (half a second): first idle connections to hosts, then idle clients. On a quiet machine the queries take 0.6 s, so that two or three idle connections were freed and the test held; on a busy one they take longer. Change: the shim fails ten accepts, the most that a router has to bear without freeing anything, however slow the machine is. As strict: before, some frees went unnoticed; now none may happen. The test also asks for the log line of the failures, so that it can't pass without them.

--- a/src/main/java/beaconladder/testbed/soak/FaultPlan.java
+++ b/src/main/java/beaconladder/testbed/soak/FaultPlan.java
@@ -25,7 +25,9 @@
         FILE_ERRNO,
         FILE_SHORT,
         HOLD_UP_PER_MILLE,
-        HOLD_UP_MICROS
+        HOLD_UP_MICROS,
+        /** How many accepts of the process fail at most, from its start on; 0 for no limit. */
+        MAX_FAILED_ACCEPTS
     }
 
     private final Path file;
--- a/src/main/resources/beaconladder/testbed/soak/fault_shim.c
+++ b/src/main/resources/beaconladder/testbed/soak/fault_shim.c
@@ -25,7 +25,7 @@
 enum field {
     WALL_OFFSET_NANOS, ACCEPT_ERRNO, ACCEPT_PER_MILLE, CONNECT_ERRNO, CONNECT_PER_MILLE, SOCKET_ERRNO, SOCKET_PER_MILLE,
     THREAD_PER_MILLE, SHORT_PER_MILLE, INTERRUPT_PER_MILLE, FILE_ERRNO, FILE_SHORT,
-    HOLD_UP_PER_MILLE, HOLD_UP_MICROS, FIELDS
+    HOLD_UP_PER_MILLE, HOLD_UP_MICROS, MAX_FAILED_ACCEPTS, FIELDS
 };
 
 static volatile int64_t *plan;
@@ -120,8 +120,24 @@
     return now.tv_sec;
 }
 
+/* How many accepts this process has failed. */
+static int64_t failed_accepts;
+
+/* Whether the current accept fails: with the set probability, and at most MAX_FAILED_ACCEPTS times if that is set. */
+static int should_fail_accept(void) {
+    int64_t limit = plan_value(MAX_FAILED_ACCEPTS);
+    if (limit != 0 && __atomic_load_n(&failed_accepts, __ATOMIC_RELAXED) >= limit) {
+        return 0;
+    }
+    if (!inject_error(ACCEPT_ERRNO, ACCEPT_PER_MILLE)) {
+        return 0;
+    }
+    __atomic_fetch_add(&failed_accepts, 1, __ATOMIC_RELAXED);
+    return 1;
+}
+
 int accept(int fd, struct sockaddr *address, socklen_t *length) {
-    return inject_error(ACCEPT_ERRNO, ACCEPT_PER_MILLE) ? -1 : REAL(accept)(fd, address, length);
+    return should_fail_accept() ? -1 : REAL(accept)(fd, address, length);
 }
 
 int connect(int fd, const struct sockaddr *address, socklen_t length) {
--- a/src/test/java/beaconladder/server/SystemCallsIT.java
+++ b/src/test/java/beaconladder/server/SystemCallsIT.java
@@ -22,6 +22,8 @@
     private static final int ENFILE = 23;
     private static final int ENETUNREACH = 101;
     private static final int ALWAYS = 1_000;
+    /** A router frees descriptors for the next failure in a row: that many may mean that this process lacks them. */
+    private static final int FAILED_ACCEPTS_WITHOUT_EFFECT = 10;
 
     private FaultPlan plan;
 
@@ -51,6 +53,8 @@
         }
         TestClient busyClient = connect();
         Thread.sleep(200);
+        // A count and not a time: on a slow machine more accepts fail within the time that the queries below take.
+        plan.set(Field.MAX_FAILED_ACCEPTS, FAILED_ACCEPTS_WITHOUT_EFFECT);
         plan.set(Field.ACCEPT_ERRNO, ENFILE);
         plan.set(Field.ACCEPT_PER_MILLE, ALWAYS);
         TestClient lateClient =
@@ -63,8 +67,8 @@
             maxMillis = Math.max(maxMillis, (System.nanoTime() - startNanoTime) / 1_000_000);
             Thread.sleep(10);
         }
-        plan.clear();
         assertThat(lateClient.answer()).isEqualTo("R S S S S K Z");
+        assertThat(router.log()).contains("accepting clients failed");
         for (int i = 0; i < 5; i++) {
             assertThat(query(idleClients.get(i), read("j" + i, 900)))
                     .as("idle client " + i)
