DiscoveryIT: the replica that drains is the only one until then, so that each router uses it

Cause, by a trial: if the first connections of a router to that replica take over 250 ms (its connect timeout), the router uses the other replica alone, as its outcomes are better and the test's clients are one at a time. Change: the other replica joins the list with the drain. All reads go to the replica that drains until its router knows, which is more than before; bounds and waits are as they were. A second test starts with such connections and holds.

--- a/src/test/java/beaconladder/server/DiscoveryIT.java
+++ b/src/test/java/beaconladder/server/DiscoveryIT.java
@@ -84,19 +84,17 @@
             startLoad("f" + i, routers.get(i));
         }
         DiscoveryStandIn newAgent = startAgent();
-        newAgent.list(true, entries("Terminating"));
+        newAgent.list(true, drainingEntries());
         DiscoveryStandIn oldAgent = startAgent();
         int port = RouterProcess.freePort();
         RouterProcess reloadedRouter = closeAfterTest(new RouterProcess(folder, config("m", port, oldAgent), port))
                 .awaitReady();
         startLoad("m", reloadedRouter);
-        Awaitility.await()
-                .until(() -> List.of("f0-", "f1-", "f2-", "f3-", "f4-", "m-").stream()
-                        .allMatch(name -> receivedAfter(name, 0)));
+        awaitRequestsAtDrainingReplica(List.of("f0-", "f1-", "f2-", "f3-", "f4-", "m-"));
         long startMillis = System.currentTimeMillis();
         for (int i = 0; i < faults.size(); i++) {
             faults.get(i).accept(agents.get(i));
-            agents.get(i).list(true, entries("Terminating"));
+            agents.get(i).list(true, drainingEntries());
         }
         reloadedRouter.reload(config("m", port, newAgent));
         oldAgent.manner = Manner.SILENT;
@@ -128,7 +126,7 @@
         List<DiscoveryStandIn> agents = List.of(startAgent(), startAgent());
         agents.get(1).lateMillis = 700;
         for (int i = 0; i < agents.size(); i++) {
-            agents.get(i).list(true, entries("Terminating").replace(",", " ,\n  "));
+            agents.get(i).list(true, drainingEntries().replace(",", " ,\n  "));
             startLoad("s" + i, startRouter("s" + i, agents.get(i)));
         }
         Awaitility.await().until(() -> pipeliningClients.served.get() > 200);
@@ -137,6 +135,17 @@
         assertThat(pipeliningClients.odd).isEmpty();
     }
 
+    /** Guards against a router that no longer uses its only replica after its first connections there failed. */
+    @Test
+    void aReplicaWhoseFirstConnectionsFailIsUsedOnceTheySucceed() throws Exception {
+        drainingReplica.greetMillis = 400;
+        startLoad("r", startRouter("r", startAgent()));
+        Awaitility.await().until(() -> pipeliningClients.served.get() > 5);
+        drainingReplica.greetMillis = 0;
+        awaitRequestsAtDrainingReplica(List.of("r-"));
+        assertThat(pipeliningClients.odd).isEmpty();
+    }
+
     // ---- Helpers ------------------------------------------------------------------------------------------
 
     private boolean receivedAfter(String name, long millis) {
@@ -145,20 +154,36 @@
                 .anyMatch(query -> !drainingReplica.sawBefore(query.replaceAll(".*(id=[^,]*,).*", "$1"), millis));
     }
 
-    private String entries(String state) {
+    /** Waits until the replica that is to drain has received a request of each router, by the prefixes of their ids. */
+    private void awaitRequestsAtDrainingReplica(List<String> names) {
+        Awaitility.await()
+                .untilAsserted(() -> assertThat(names)
+                        .as("routers that use the replica; unexpected answers: %s", pipeliningClients.odd)
+                        .allMatch(name -> receivedAfter(name, 0)));
+    }
+
+    /**
+     * Returns the entries before the drain. The other replica joins only then: a router whose first connection to the
+     * one that is to drain fails on a busy machine would use the other one alone, and the test would show nothing.
+     */
+    private String initialEntries() {
+        return primary.entry("a", "Ready") + "," + drainingReplica.entry("c", "Ready");
+    }
+
+    private String drainingEntries() {
         return primary.entry("a", "Ready") + "," + remainingReplica.entry("b", "Ready") + ","
-                + drainingReplica.entry("c", state);
+                + drainingReplica.entry("c", "Terminating");
     }
 
     private DiscoveryStandIn startAgent() throws Exception {
         DiscoveryStandIn agent = closeAfterTest(new DiscoveryStandIn());
         agent.waitMillis = 60_000;
-        agent.list(true, entries("Ready"));
+        agent.list(true, initialEntries());
         return agent;
     }
 
     private String config(String name, int port, DiscoveryStandIn agent) {
-        return RouterFile.of(name, port, agent, 256, 144, entries("Ready"));
+        return RouterFile.of(name, port, agent, 256, 144, initialEntries());
     }
 
     private RouterProcess startRouter(String name, DiscoveryStandIn agent) throws Exception {
