--- a/src/main/java/beaconladder/discovery/HttpFetcher.java
+++ b/src/main/java/beaconladder/discovery/HttpFetcher.java
@@ -4,8 +4,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
@@ -224,55 +222,4 @@
         private final DeadlineSocket socket = new DeadlineSocket();
         private final DefaultBHttpClientConnection http = new DefaultBHttpClientConnection(HTTP_CONFIG);
     }
-
-    /** A socket whose reads share one deadline: a timeout per read would not bound a call whose bytes arrive slowly. */
-    private static final class DeadlineSocket extends Socket {
-        private volatile long deadlineNanos;
-        private volatile long responseNanos;
-        private volatile boolean hasResponseStarted;
-
-        /** Sets the deadline and the response limit of the next call. */
-        private void startCall(long callDeadlineNanos, long callResponseNanos) {
-            deadlineNanos = callDeadlineNanos;
-            responseNanos = callResponseNanos;
-            hasResponseStarted = false;
-        }
-
-        @Override
-        public InputStream getInputStream() throws IOException {
-            return new FilterInputStream(super.getInputStream()) {
-                @Override
-                public int read() throws IOException {
-                    setRemainingTimeout();
-                    int read = in.read();
-                    onBytesRead();
-                    return read;
-                }
-
-                @Override
-                public int read(byte[] buffer, int offset, int length) throws IOException {
-                    setRemainingTimeout();
-                    int count = in.read(buffer, offset, length);
-                    onBytesRead();
-                    return count;
-                }
-            };
-        }
-
-        /** Applies the response limit from the first byte on: a response that stalls is not worth the full timeout. */
-        private void onBytesRead() {
-            if (!hasResponseStarted) {
-                hasResponseStarted = true;
-                deadlineNanos = Math.min(deadlineNanos, System.nanoTime() + responseNanos);
-            }
-        }
-
-        private void setRemainingTimeout() throws IOException {
-            long remainingMillis = (deadlineNanos - System.nanoTime()) / 1_000_000;
-            if (remainingMillis <= 0) {
-                throw new SocketTimeoutException("no whole answer in time");
-            }
-            setSoTimeout((int) remainingMillis);
-        }
-    }
 }
