--- a/src/main/java/beaconladder/invariants/Invariants.java
+++ b/src/main/java/beaconladder/invariants/Invariants.java
@@ -65,7 +65,8 @@
                     Rule.SENDING,
                     attempt,
                     "sent with a timeout longer than the time left, ms: "
-                            + millis(sent.timeoutNanos() - (request.expiryNanos - sent.endedNanos())));
+                            + millis(sent.timeoutNanos() - (request.expiryNanos - sent.endedNanos()))
+                            + ", the write took, ms: " + millis(sent.endedNanos() - sent.beganNanos()));
         }
         if (attempt.slowStartTicket == SlowStartTicket.MISSING) {
             add(Rule.STARTING, attempt, "sent without a ticket to a host in slow start");
