Soak: list the pauses of its own process and of the routers' JVMs when a rule is broken

The soak of all fault kinds was red once as a router stood still for some 200 ms, by what is not known: neither a pause of the JVM nor a stall of the machine could be told from the logs. A broken soak now prints the times at which its own process was not scheduled for 50 ms or more, and the safepoints of the routers of that length; the trace's lines carry the wall time. No check was changed.

--- a/src/main/java/beaconladder/testbed/soak/Soak.java
+++ b/src/main/java/beaconladder/testbed/soak/Soak.java
@@ -1,10 +1,12 @@
 package beaconladder.testbed.soak;
 
+import beaconladder.testbed.StallRecorder;
 import beaconladder.testbed.StandInThreads;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashSet;
@@ -48,7 +50,8 @@
     /** Runs the soak, prints its result and returns whether every rule held. */
     public boolean play() throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("soak");
-        try (SoakFleet fleet = new SoakFleet(plan, folder, FaultShim.build(folder), random.split())) {
+        try (StallRecorder stallRecorder = new StallRecorder();
+                SoakFleet fleet = new SoakFleet(plan, folder, FaultShim.build(folder), random.split())) {
             fleet.clients().start(CLIENTS_PER_ROUTER * plan.routers(), random.split());
             StandInThreads.sleep(1_000 * plan.faultFreeSeconds());
             for (int i = 0; i < plan.rounds(); i++) {
@@ -59,7 +62,12 @@
             StandInThreads.sleep(SETTLE_MILLIS);
             fleet.clients().end();
             fleet.end();
-            return report(fleet, recoveredAtNanos, folder);
+            boolean rulesHeld = report(fleet, recoveredAtNanos, folder);
+            if (!rulesHeld) {
+                reportPauses(fleet, stallRecorder.stalls());
+            }
+            out.flush();
+            return rulesHeld;
         }
     }
 
@@ -135,6 +143,19 @@
         return rulesHeld;
     }
 
+    /** Prints which processes stood still and when, so that a violation of a time limit can be traced. */
+    private void reportPauses(SoakFleet fleet, List<StallRecorder.Stall> stalls) {
+        for (StallRecorder.Stall stall : stalls) {
+            out.println("the soak's own process was not scheduled for " + stall.lengthMillis() + " ms until "
+                    + Instant.ofEpochMilli(stall.endMillis()));
+        }
+        for (SoakRouter router : fleet.routers()) {
+            for (String pause : JvmPauses.longPauses(router.log())) {
+                out.println("router " + router.number + " paused: " + pause);
+            }
+        }
+    }
+
     private static String jsonCounts(Map<? extends Enum<?>, Integer> counts) {
         return counts.entrySet().stream()
                 .map(entry -> "\"" + name(entry.getKey()) + "\":" + entry.getValue())
--- a/src/main/java/beaconladder/testbed/soak/SoakFleet.java
+++ b/src/main/java/beaconladder/testbed/soak/SoakFleet.java
@@ -28,7 +28,10 @@
     private static final int DEFAULT_DELAY_MILLIS = 5;
     private static final int DEFAULT_LAG_MILLIS = 20;
     private static final List<String> TRACE_OPTIONS = List.of(
-            "-Dorg.slf4j.simpleLogger.log.beaconladder.trace=debug", "-Dorg.slf4j.simpleLogger.showDateTime=true");
+            "-Dorg.slf4j.simpleLogger.log.beaconladder.trace=debug",
+            "-Dorg.slf4j.simpleLogger.showDateTime=true",
+            "-Dorg.slf4j.simpleLogger.dateTimeFormat=yyyy-MM-dd'T'HH:mm:ss.SSSZ",
+            JvmPauses.LOG_FLAG);
 
     /** An interval of {@code System.nanoTime}; its end is {@code Long.MAX_VALUE} while it lasts. */
     record Interval(long startNanos, long endNanos) {}
