--- a/src/test/java/beaconladder/server/DiscoveryIT.java
+++ b/src/test/java/beaconladder/server/DiscoveryIT.java
@@ -141,8 +141,7 @@
         drainingReplica.greetMillis = 400;
         startLoad("r", startRouter("r", startAgent()));
         // A read at the primary shows that the replica was tried in vain.
-        Awaitility.await()
-                .until(() -> primary.queries().stream().anyMatch(query -> query.startsWith("SELECT")));
+        Awaitility.await().until(() -> primary.queries().stream().anyMatch(query -> query.startsWith("SELECT")));
         drainingReplica.greetMillis = 0;
         awaitRequestsAtDrainingReplica(List.of("r-"));
         assertThat(pipeliningClients.odd).isEmpty();
