--- a/src/test/java/beaconladder/server/DisconnectedClientsIT.java
+++ b/src/test/java/beaconladder/server/DisconnectedClientsIT.java
@@ -39,6 +39,55 @@
         assertNoneReceivedAfter(System.currentTimeMillis(), "p", 1_500);
     }
 
+    /** Guards against a close that isn't noticed because hundreds of kilobytes lie unread before it. */
+    @Test
+    void nothingIsForwardedAfterACloseBehindHundredsOfKilobytes() throws Exception {
+        start();
+        TestClient client = connect();
+        query(client, read("warm", 2000));
+        primary.delayMillis = 200;
+        replica.delayMillis = 200;
+        String filler = "x".repeat(400);
+        MessageWriter queries = new MessageWriter();
+        for (int i = 0; i < 600; i++) {
+            queries.append(MessageWriter.query(read("u" + i + "x", 2000).replace("'k'", "'k" + filler + "'")));
+        }
+        queries.writeTo(client.out);
+        await(() -> !receivedIds("u").isEmpty());
+        client.close();
+        assertNoneReceivedAfter(System.currentTimeMillis(), "u", 2_500);
+    }
+
+    /** Guards against a write that runs twice because its id comes again after its client has left. */
+    @Test
+    void aWriteThatMayHaveRunDoesNotRunAgainWhenItsIdComesAgainAfterItsClientHasLeft() throws Exception {
+        start();
+        TestClient warm = connect();
+        query(warm, write("warm", 2000));
+        primary.delayMillis = 300;
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            ids.add("g" + i + "x");
+            TestClient leaving = connect();
+            MessageWriter.query(write(ids.get(i), 1900)).writeTo(leaving.out);
+            await(() -> receivedIds(ids.get(ids.size() - 1)).size() == 1);
+            leaving.close();
+        }
+        for (int round = 0; round < 2; round++) {
+            for (String id : ids) {
+                assertThat(connect().ask(write(id, 1900)))
+                        .as(id)
+                        .startsWith("E:")
+                        .doesNotContain("53300");
+            }
+            // The second round comes when the writes have ended at their host.
+            TimeUnit.MILLISECONDS.sleep(500);
+        }
+        for (String id : ids) {
+            assertThat(receivedIds(id)).hasSize(1);
+        }
+    }
+
     /** The last bytes from the client are part of a message. */
     @Test
     void nothingIsForwardedForAClientThatClosesInTheMiddleOfAMessage() throws Exception {
