Keep an id whose client has left for as long as its request may run

What callers saw: a write ran twice when its id came again on a new connection after its client had left.

Cause: the dispatcher forgot an id when the request had ended for its client, whatever still ran at the host. A client that leaves ends its request at once, while its write is at a host.

--- a/src/main/java/beaconladder/routing/RoutingPolicy.java
+++ b/src/main/java/beaconladder/routing/RoutingPolicy.java
@@ -62,6 +62,7 @@
     private final HealthCheckScheduler healthChecks;
     private final HostStateTracker hostStates;
     private final RetryGuard retryGuard = new RetryGuard();
+    private final RequestIdPolicy requestIds = new RequestIdPolicy();
     private final DispatchGuard dispatchGuard;
 
     public RoutingPolicy(long seed, Map<String, String> settings) {
@@ -196,6 +197,11 @@
         return deadlines.advertisedTimeoutNanos(remainingNanos);
     }
 
+    @Override
+    public long idReservedUntilNanos(Request request, long now) {
+        return requestIds.reservedUntilNanos(request, now);
+    }
+
     @Override
     public RoutingDecision onAttemptEnded(
             Attempt attempt, Outcome outcome, boolean settled, HostReport answer, HostReport report, long now) {
--- a/src/main/java/beaconladder/routing/api/DelegatingRouter.java
+++ b/src/main/java/beaconladder/routing/api/DelegatingRouter.java
@@ -33,6 +33,11 @@
         return inner.advertisedTimeoutNanos(remainingNanos);
     }
 
+    @Override
+    public long idReservedUntilNanos(Request request, long now) {
+        return inner.idReservedUntilNanos(request, now);
+    }
+
     @Override
     public long maxIdleNanos() {
         return inner.maxIdleNanos();
--- a/src/main/java/beaconladder/routing/api/Router.java
+++ b/src/main/java/beaconladder/routing/api/Router.java
@@ -79,6 +79,12 @@
     /** Returns the timeout to state to a host, in nanoseconds, when an attempt has this much time left. */
     long advertisedTimeoutNanos(long remainingNanos);
 
+    /**
+     * Returns until when the id of a request that has ended for its client is not accepted for another request, or the
+     * current time if it is accepted at once.
+     */
+    long idReservedUntilNanos(Request request, long now);
+
     /** Returns how long a connection may have been idle and still be reused, in nanoseconds. */
     long maxIdleNanos();
 
--- a/src/main/java/beaconladder/server/QueryHandler.java
+++ b/src/main/java/beaconladder/server/QueryHandler.java
@@ -87,8 +87,8 @@
                 dispatcher.cells().releasePermit(parameters.permit());
             }
             QueryRejection.DUPLICATE_ID.record(dispatcher.monitor());
-            return QueryReply.of(
-                    ErrorResponse.error(ErrorResponse.INVALID_PARAMETER_VALUE, "the id of a txn that is in hand"));
+            return QueryReply.of(ErrorResponse.error(
+                    ErrorResponse.INVALID_PARAMETER_VALUE, "the id of a request that is in flight or may have run"));
         }
         entry.setInFlight(request);
         if (isAbandoned(entry).getAsBoolean()) {
@@ -98,7 +98,7 @@
             return QueryReply.of(runCommands(entry, request));
         } finally {
             entry.setInFlight(null);
-            dispatcher.releaseId(query.id());
+            dispatcher.releaseId(query.id(), request);
         }
     }
 
--- a/src/main/java/beaconladder/server/RequestDispatcher.java
+++ b/src/main/java/beaconladder/server/RequestDispatcher.java
@@ -11,10 +11,8 @@
 import beaconladder.routing.state.RequestClass;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -41,8 +39,7 @@
     private final PendingActions pendingActions;
     private final Monitor monitor;
     private final AttemptEvents attemptEvents;
-    /** The clients' ids of the requests that are not answered. */
-    private final Set<String> inFlightIds = new HashSet<>();
+    private final RequestIds requestIds = new RequestIds();
 
     private final EndpointList endpoints;
     private final SettingIndex settingIndex;
@@ -126,7 +123,7 @@
     int trackedCount() {
         lock.lock();
         try {
-            return endpoints.trackedCount() + pendingActions.size() + inFlightIds.size();
+            return endpoints.trackedCount() + pendingActions.size() + requestIds.inFlightCount();
         } finally {
             lock.unlock();
         }
@@ -154,13 +151,13 @@
      * Accepts a request and decides on its first attempt. The request's task takes its commands from the result, and
      * releases the id once the request is answered.
      *
-     * @return the request, or null where another one with this id is in flight
+     * @return the request, or null where another one with this id is in flight or may have run
      */
     InFlightRequest submit(RequestParameters parameters) {
         lock.lock();
         InFlightRequest inFlight;
         try {
-            if (!inFlightIds.add(parameters.id())) {
+            if (!requestIds.tryUse(parameters.id(), nowNanos())) {
                 return null;
             }
             inFlight = InFlightRequest.of(
@@ -180,11 +177,12 @@
         return inFlight;
     }
 
-    /** Releases the id of a request that has been answered. */
-    void releaseId(String id) {
+    /** Releases the id of a request that has ended for its client, at once or after the time that the policy sets. */
+    void releaseId(String id, InFlightRequest inFlight) {
         lock.lock();
         try {
-            inFlightIds.remove(id);
+            long now = nowNanos();
+            requestIds.release(id, router.idReservedUntilNanos(inFlight.request, now), now);
         } finally {
             lock.unlock();
         }
--- a/src/test/java/beaconladder/server/ClientFloodIT.java
+++ b/src/test/java/beaconladder/server/ClientFloodIT.java
@@ -19,8 +19,8 @@
 @Timeout(120)
 class ClientFloodIT extends RouterProcessFixture {
     /** Binds the shell, and so the router, to the first CPU that it may use. */
-    private static final String ONE_CPU =
-            "taskset -pc $(sed -n 's/^Cpus_allowed_list:[^0-9]*\\([0-9]*\\).*/\\1/p' /proc/self/status) $$ > /dev/null; ";
+    private static final String ONE_CPU = "taskset -pc $(sed -n 's/^Cpus_allowed_list:[^0-9]*\\([0-9]*\\).*/\\1/p' "
+            + "/proc/self/status) $$ > /dev/null; ";
 
     private static final int FLOODING_CLIENTS = 6;
     private static final int OTHER_CLIENTS = 8;
