Count a time budget above many short ones as a first try

What callers saw: beside a flood of reads with 300 ms, all requests with 350 ms got 53300 at once.

Cause: where clients don't mark retries, an unusual budget counts as the rest of the class's time-out. A flood of short budgets makes them the usual ones, so 350 ms counted as a retry 1,650 ms old, whose SLA time was over (trace of six such requests: decline NO_TIME at 0 to 6 ms). A rest is less than the first budget, so a budget above a cluster below the SLA time is none.

The new test fails without the change.

--- a/src/main/java/beaconladder/routing/DeadlinePolicy.java
+++ b/src/main/java/beaconladder/routing/DeadlinePolicy.java
@@ -52,7 +52,8 @@
      * the class's timeout, so the difference has already passed. This avoids serving retries that can no longer be in
      * time while new requests wait; in doubt the request counts as a first try. Where clients mark their retries, an
      * unmarked request is a first try. Where they don't, budgets below the SLA time that are more frequent than the
-     * scatter of retries explains belong to clients whose first tries have little time.
+     * scatter of retries explains belong to clients whose first tries have little time; a budget above such ones is no
+     * rest of them.
      */
     long slaEndNanos(Request request) {
         long budgetNanos = request.expiryNanos - request.arrivedNanos;
@@ -68,7 +69,10 @@
                         > SHORT_BUDGET_FACTOR
                                 * budgets.countBetween(slaNanos, firstTryBudgetNanos - BUDGET_TOLERANCE_NANOS)
                                 * slaNanos;
-        boolean firstTry = retriesMarked ? !request.retriedByClient : usualBudget || shortFirstTry;
+        // A client whose time budgets make up most of them may have less time than others.
+        boolean moreThanShortFirstTries = firstTryBudgetNanos < slaNanos && budgetNanos > firstTryBudgetNanos;
+        boolean firstTry =
+                retriesMarked ? !request.retriedByClient : usualBudget || shortFirstTry || moreThanShortFirstTries;
         long elapsedNanos = firstTry
                 ? 0
                 : usualBudget
--- a/src/test/java/beaconladder/routing/RoutingPolicyTest.java
+++ b/src/test/java/beaconladder/routing/RoutingPolicyTest.java
@@ -220,6 +220,19 @@
                 """);
     }
 
+    /** Guards against a flood of requests with little time, beside which all others counted as late retries. */
+    @Test
+    void aBudgetAboveThatOfManyShortFirstTriesCountsAsAFirstTry() {
+        Script script = Script.warm();
+        for (int i = 0; i < 40; i++) {
+            script.request(i, ANY, 0, i % 10 == 0 ? 350 : 300).end(i, Outcome.COMMITTED, Role.REPLICA, 0);
+        }
+        assertThat(script.clearTrace().request(40, ANY, 0, 350).trace()).isEqualTo("""
+                0 request 40 any
+                0   send 40 to c
+                """);
+    }
+
     @Test
     void ofTwoRandomReplicasAnUnboundedReadIsSentToTheOneTooFarBehindForBoundedReads() {
         Script script = Script.warm()
