--- a/src/main/java/beaconladder/pg/MessageReader.java
+++ b/src/main/java/beaconladder/pg/MessageReader.java
@@ -29,19 +29,22 @@
     /** Holds the statements in use; larger values make it grow for as long as they are there. */
     private static final int INITIAL_BYTES = 2048;
 
+    /** Bound of one read: the JDK copies it from a buffer outside of the heap, which it keeps up to this size. */
+    private static final int MAX_READ_BYTES = 16 * 1024;
+
     /** Names and options alone; PostgreSQL takes as much. */
     private static final int MAX_STARTUP_BYTES = 10_000;
 
     private final Socket socket;
     private final InputStream in;
     private MemoryLimit memory;
-    /** Whether the last read from the channel was skipped because the buffer could not grow. */
-    private boolean isFull;
     /** Bytes that the incomplete message needs, as far as that is known. */
     private int needed;
     /** nanoTime at which the first byte of the incomplete message was seen, or 0. */
     private long messageStartNanos;
 
+    private boolean mayHaveMore;
+
     private int messageStart;
     private int bytesEnd;
 
@@ -86,12 +89,12 @@
      * stream.
      */
     public int readFrom(ReadableByteChannel channel) throws IOException {
-        isFull = !makeSpace();
-        if (isFull) {
+        if (!makeSpace()) {
             return 0;
         }
-        int n = channel.read(ByteBuffer.wrap(buffer, bytesEnd, buffer.length - bytesEnd));
+        int n = channel.read(ByteBuffer.wrap(buffer, bytesEnd, Math.min(MAX_READ_BYTES, buffer.length - bytesEnd)));
         bytesEnd += Math.max(0, n);
+        mayHaveMore = n == MAX_READ_BYTES || bytesEnd == buffer.length;
         return n;
     }
 
@@ -106,14 +109,9 @@
                 : status;
     }
 
-    /** Stops measuring the time of an incomplete message while the caller is not going to parse it. */
-    public void pauseMessageTimer() {
-        messageStartNanos = 0;
-    }
-
-    /** Whether at least this many bytes beyond the current message have been received, or the buffer could not grow. */
-    public boolean hasUnreadAtLeast(int bytes) {
-        return isFull || bytesEnd - messageEnd >= bytes;
+    /** Whether the last read was as long as it could be, so that more may have arrived. */
+    public boolean mayHaveMore() {
+        return mayHaveMore;
     }
 
     /** nanoTime at which the first byte of the incomplete message was seen, or 0. */
@@ -199,7 +197,7 @@
                 long millis = Math.max(1, (remainingNanos + 999_999) / 1_000_000);
                 socket.setSoTimeout(
                         remainingNanos == Long.MAX_VALUE ? 0 : (int) Math.min(Integer.MAX_VALUE, millis - millis / 64));
-                int n = in.read(buffer, bytesEnd, buffer.length - bytesEnd);
+                int n = in.read(buffer, bytesEnd, Math.min(MAX_READ_BYTES, buffer.length - bytesEnd));
                 if (n < 0) {
                     return bytesEnd == messageStart ? ReadStatus.CLOSED : ReadStatus.TRUNCATED;
                 }
--- a/src/main/java/beaconladder/pg/MessageWriter.java
+++ b/src/main/java/beaconladder/pg/MessageWriter.java
@@ -8,6 +8,9 @@
 
 /** Builds outgoing messages, one after the other, in a growing buffer. */
 public final class MessageWriter {
+    /** Bound of one write: the JDK copies it to a buffer outside of the heap, which it keeps up to this size. */
+    public static final int MAX_WRITE_BYTES = 16 * 1024;
+
     private byte[] buffer = new byte[256];
     private int size;
 
@@ -129,6 +132,11 @@
                 .end(start);
     }
 
+    /** Releases the part of the buffer that is not used, for messages that are kept. */
+    public void trimToSize() {
+        buffer = Arrays.copyOf(buffer, size);
+    }
+
     /** Number of bytes written. */
     public int size() {
         return size;
@@ -141,7 +149,9 @@
 
     /** Writes all bytes to the stream. */
     public void writeTo(OutputStream out) throws IOException {
-        out.write(buffer, 0, size);
+        for (int offset = 0; offset < size; offset += MAX_WRITE_BYTES) {
+            out.write(buffer, offset, Math.min(MAX_WRITE_BYTES, size - offset));
+        }
     }
 
     /** The value of the first single-column DataRow in here, or null. */
--- a/src/main/java/beaconladder/routing/RoutingPolicy.java
+++ b/src/main/java/beaconladder/routing/RoutingPolicy.java
@@ -256,10 +256,12 @@
         wakeups.takeChanged().forEach(group -> due.addAll(group.queued));
         List<Request> ordered = new ArrayList<>(due);
         double[] classWeights = ordered.size() < 2 ? new double[0] : weights.classWeights();
-        // Among requests of equal weight the one with the most time left goes first. Under overload, oldest first
-        // would serve each request just before its deadline, and many after it.
+        // Among requests of equal weight those of clients with the fewest requests go first, so that a client that
+        // pipelines at full speed does not take all turns. Among these the one with the most time left goes first:
+        // under overload, oldest first would serve each request just before its deadline, and many after it.
         ordered.sort(Comparator.<Request>comparingDouble(
                         request -> -weights.remainingWeight(request, now) * classWeights[request.requestClass.index()])
+                .thenComparingInt(request -> request.clientRequests.inFlight)
                 .thenComparingLong(request -> -request.slaEndNanos)
                 .thenComparingLong(request -> request.sequenceNumber));
         List<Host> probes = healthChecks.takeProbes(now);
--- /dev/null
+++ b/src/main/java/beaconladder/routing/state/ClientRequests.java
@@ -0,0 +1,6 @@
+package beaconladder.routing.state;
+
+/** The number of requests of one client connection that are in flight. */
+public final class ClientRequests {
+    public int inFlight;
+}
--- a/src/main/java/beaconladder/routing/state/Request.java
+++ b/src/main/java/beaconladder/routing/state/Request.java
@@ -28,6 +28,9 @@
     /** The number of this request, counted from the start of the router. */
     public final long sequenceNumber;
 
+    /** The requests of its client connection; one of its own where the connection is not known. */
+    public ClientRequests clientRequests = new ClientRequests();
+
     public final List<Attempt> attempts = new ArrayList<>();
     /** The log position that its session required on arrival; Long.MIN_VALUE for none. */
     public long sessionTarget = Long.MIN_VALUE;
--- a/src/main/java/beaconladder/server/ClientAcceptor.java
+++ b/src/main/java/beaconladder/server/ClientAcceptor.java
@@ -1,5 +1,6 @@
 package beaconladder.server;
 
+import beaconladder.routing.ClientShares;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
@@ -65,9 +66,14 @@
      * budgets run, but nothing that they send is lost.
      */
     void accept() {
+        accept(System.nanoTime() + ClientShares.turnNanos(1));
+    }
+
+    /** Accepts until this {@code System.nanoTime}; the rest follows in the next pass of the reader. */
+    private void accept(long endNanoTime) {
         try {
             queued = false;
-            while (listener.isOpen()) {
+            while (listener.isOpen() && System.nanoTime() < endNanoTime) {
                 connectionTable.freeDescriptorsForNext(descriptors.held());
                 queued = !descriptors.acquire(DescriptorLimit.Use.CLIENT);
                 SocketChannel channel = queued ? null : listener.accept();
@@ -113,7 +119,7 @@
 
     /** Closes the listener after accepting the clients in its queue, whose connections the close would reset. */
     void close() {
-        accept();
+        accept(Long.MAX_VALUE);
         try {
             listener.close();
         } catch (IOException e) {
--- a/src/main/java/beaconladder/server/ClientConnection.java
+++ b/src/main/java/beaconladder/server/ClientConnection.java
@@ -2,7 +2,11 @@
 
 import beaconladder.cells.AdmissionPermit;
 import beaconladder.pg.MessageReader;
+import beaconladder.pg.MessageWriter;
+import beaconladder.routing.ClientShares;
+import beaconladder.routing.state.ClientRequests;
 import java.io.IOException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -16,8 +20,8 @@
     private static final long MESSAGE_TIMEOUT_NANOS = 2_000_000_000L;
     /** How much is still read and discarded after the final error, so that the client receives the error. */
     private static final int MAX_DISCARDED_BYTES = 64 * 1024;
-    /** How much is read while the pipeline is full, some hundred queries, to notice a close that follows them. */
-    private static final int MAX_BYTES_BEHIND_FULL_QUEUE = 128 * 1024;
+    /** A client is disconnected when none of an answer could be written to it for this long. */
+    private static final long WRITE_TIMEOUT_NANOS = 5_000_000_000L;
     /** How long a client's bytes are still read after the final error. */
     static final long LINGER_NANOS = 500_000_000L;
 
@@ -25,12 +29,18 @@
     private final RequestDispatcher dispatcher;
     private final ClientChannel channel;
     private final MessageReader in;
-    private final PipelineQueue queue = new PipelineQueue();
+    private final PipelineQueue queue;
     private final ClientActivity activity = new ClientActivity();
+    /** Guarded by the dispatcher's lock. */
+    private final ClientRequests requests = new ClientRequests();
+
     private final RequestTask task;
     private final ClientReader reader;
     private final long cancelKey;
+    private final AtomicBoolean attentionRequested = new AtomicBoolean();
     private int discardedBytes;
+    /** Whether messages that have arrived completely are left to the next turn. */
+    private boolean messagesLeft;
     /** Whether the final read has been done; afterwards only a message that had begun by then is completed. */
     private boolean finalReadDone;
     /** Whether a message that had begun by the final read is still incomplete. */
@@ -50,10 +60,15 @@
         this.channel = channel;
         this.cancelKey = clientServer.connectionTable().newCancelKey();
         this.in = new MessageReader(clientServer.memoryLimit());
+        this.queue = new PipelineQueue(clientServer.queryMemory(), clientServer.answerMemory(), this::localAnswer);
         this.task = new RequestTask(this, clientServer, dispatcher, serverConnections, queue);
         this.reader = new ClientReader(this, clientServer, dispatcher, in, queue, task);
     }
 
+    private MessageWriter localAnswer(PipelineEntry entry) {
+        return task.localAnswer(entry);
+    }
+
     ClientChannel channel() {
         return channel;
     }
@@ -73,33 +88,34 @@
         return readNanos;
     }
 
+    /** The number of the client's requests in flight, which the dispatcher counts. */
+    ClientRequests requests() {
+        return requests;
+    }
+
     /** Whether the cell of the client's tenant uses more connections than its quota. */
     boolean exceedsCellQuota() {
         AdmissionPermit permit = task.connectionPermit();
         return permit != null && dispatcher.cells().borrowsConnections(permit);
     }
 
-    /** Reads and handles what has arrived; returns false if the connection is closed. */
+    /** Reads and handles what has arrived, for the time of one turn; returns false if the connection is closed. */
     boolean onReadable() {
+        return onReadable(ClientShares.turnNanos(1));
+    }
+
+    /**
+     * Reads and handles what has arrived; returns false if the connection is closed.
+     *
+     * @param turnNanos after which time the rest is left to the next turn
+     */
+    boolean onReadable(long turnNanos) {
+        long endNanoTime = System.nanoTime() + turnNanos;
         try {
             chargeCell();
-            int bytesRead = in.readFrom(channel);
-            if (!queue.isFull()) {
-                readNanos = dispatcher.nowNanos();
-            }
-            if (activity.isClosing()) {
-                in.discard();
-                discardedBytes += Math.max(0, bytesRead);
-                if (bytesRead < 0) {
-                    close(CloseCause.TOLD_TO_GO);
-                }
-            } else if (bytesRead >= 0) {
-                reader.handleMessages();
-            } else if (in.hasUnread() && queue.isIdle()) {
-                reader.closeWithError("a message that is cut off");
-            } else {
-                // Also closed with a request in flight, as a half-close can't be distinguished from a full close.
-                close(CloseCause.CLIENT_CLOSED);
+            boolean moreExpected = true;
+            while (moreExpected && channel.isOpen()) {
+                moreExpected = readOnce(endNanoTime) && System.nanoTime() < endNanoTime;
             }
         } catch (IOException e) {
             LOG.debug("a client connection failed: {}", e.toString());
@@ -111,6 +127,40 @@
         return channel.isOpen();
     }
 
+    /** Handles the messages that were left, or reads once; returns whether more is known to have arrived. */
+    private boolean readOnce(long endNanoTime) throws IOException {
+        if (messagesLeft) {
+            messagesLeft = !reader.handleMessages(endNanoTime);
+            return !messagesLeft;
+        }
+        int bytesRead = in.readFrom(channel);
+        readNanos = dispatcher.nowNanos();
+        if (activity.isClosing()) {
+            in.discard();
+            discardedBytes += Math.max(0, bytesRead);
+            if (bytesRead < 0) {
+                close(CloseCause.TOLD_TO_GO);
+            }
+            return false;
+        }
+        if (bytesRead >= 0) {
+            messagesLeft = !reader.handleMessages(endNanoTime);
+            return in.mayHaveMore();
+        }
+        if (in.hasUnread() && queue.isIdle()) {
+            reader.closeWithError("a message that is cut off");
+        } else {
+            // Also closed with a request in flight, as a half-close can't be distinguished from a full close.
+            close(CloseCause.CLIENT_CLOSED);
+        }
+        return false;
+    }
+
+    /** Whether the rest of what has arrived waits for the next turn. */
+    boolean hasMessagesLeft() {
+        return messagesLeft;
+    }
+
     /** Charges the client's large messages to its cell's memory limit from its first admitted request on. */
     private void chargeCell() {
         AdmissionPermit permit = chargedToCell || !dispatcher.hasCells() ? null : task.connectionPermit();
@@ -121,15 +171,38 @@
     }
 
     /**
-     * Whether the selector should report readable bytes: not for a client that has pipelined too much or keeps sending
-     * after the final error, nor after the final read, when only the sweep reads.
+     * Whether the selector should report readable bytes: not for a client that keeps sending after the final error, nor
+     * after the final read, when only the sweep reads.
      */
     boolean wantsRead() {
         return discardedBytes < MAX_DISCARDED_BYTES
-                && !(queue.isFull() && in.hasUnreadAtLeast(MAX_BYTES_BEHIND_FULL_QUEUE))
                 && !(finalReadDone && !activity.isClosing() && in.messageStartNanos() == 0);
     }
 
+    /** Whether the selector should report when the client can receive more. */
+    boolean wantsWrite() {
+        return queue.isWriteBlocked();
+    }
+
+    /** Marks the connection as one that the reader has to look at; returns false if it is marked already. */
+    boolean requestAttention() {
+        return attentionRequested.compareAndSet(false, true);
+    }
+
+    /**
+     * Writes the answers that are due, for the time of one turn, at the request of a task or as the client can receive
+     * more; returns false if the connection is closed.
+     */
+    boolean writeAnswers(long turnNanos) {
+        attentionRequested.set(false);
+        try {
+            task.writeAnswers(System.nanoTime() + turnNanos);
+        } catch (IOException e) {
+            close(CloseCause.CLIENT_BROKEN);
+        }
+        return channel.isOpen();
+    }
+
     /** Whether the query that has just arrived must be rejected because its first byte came after the final read. */
     boolean isTooLate() {
         boolean late = finalReadDone && !partialMessagePending;
@@ -142,16 +215,6 @@
         task.cancel();
     }
 
-    /** Handles messages again once the pipeline has space; returns false if the connection is closed. */
-    boolean resume() {
-        try {
-            reader.handleMessages();
-        } catch (IOException e) {
-            close(CloseCause.CLIENT_BROKEN);
-        }
-        return channel.isOpen();
-    }
-
     void close(CloseCause cause) {
         // First, so that what the client sends from here on stays unread and a reset informs it of that.
         closeChannel();
@@ -185,6 +248,10 @@
             close(closingSinceNanoTime != 0 ? CloseCause.TOLD_TO_GO : CloseCause.CLIENT_BROKEN);
             return false;
         }
+        if (queue.isStalled(WRITE_TIMEOUT_NANOS, nowNanoTime)) {
+            close(CloseCause.CLIENT_BROKEN);
+            return false;
+        }
         if (finalReadDone && closingSinceNanoTime == 0 && queue.hasUnwritten() && !onReadable()) {
             return false;
         }
@@ -209,7 +276,9 @@
      * arrived. Returns whether it has been closed.
      */
     boolean closeIfIdle(long idleBeforeNanoTime) {
+        // Most are not idle, and are not read for this check.
         if (activity.isClosing()
+                || !isIdle(idleBeforeNanoTime)
                 || !finalReadDone && !onReadable()
                 || activity.lastUsedNanoTime() >= idleBeforeNanoTime
                 || !isIdle(idleBeforeNanoTime)) {
@@ -221,7 +290,7 @@
         try {
             if (!finalReadDone && in.readFrom(channel) > 0) {
                 readNanos = dispatcher.nowNanos();
-                reader.handleMessages();
+                reader.handleMessages(Long.MAX_VALUE);
                 return false;
             }
         } catch (IOException e) {
@@ -238,13 +307,26 @@
      * rejected. What arrives after the last answer stays unread.
      */
     void readForLastTime() {
-        closeIfIdle(Long.MAX_VALUE);
+        if (!activity.isClosing() && onReadable()) {
+            closeIfIdle(Long.MAX_VALUE);
+        }
+        handleMessagesLeft();
         finalReadDone = true;
         partialMessagePending = in.messageStartNanos() != 0;
     }
 
+    /** Handles all messages that have been read, so that only later ones count as too late. */
+    private void handleMessagesLeft() {
+        try {
+            messagesLeft = messagesLeft && channel.isOpen() && !reader.handleMessages(Long.MAX_VALUE);
+        } catch (IOException e) {
+            close(CloseCause.CLIENT_BROKEN);
+        }
+    }
+
     private boolean isIdle(long idleBeforeNanoTime) {
         return queue.isIdle()
+                && !messagesLeft
                 && !activity.isClosing()
                 && (in.messageStartNanos() == 0
                         || !activity.hasSentRequest() && in.messageStartNanos() < idleBeforeNanoTime);
--- a/src/main/java/beaconladder/server/ClientReader.java
+++ b/src/main/java/beaconladder/server/ClientReader.java
@@ -41,34 +41,46 @@
         return started;
     }
 
-    /** Handles all messages that have arrived completely, as long as the pipeline has space. */
-    void handleMessages() throws IOException {
+    /**
+     * Handles messages that have arrived completely, at least one of them; returns whether all have been handled.
+     *
+     * @param endNanoTime the {@code System.nanoTime} after which no further message is begun
+     */
+    boolean handleMessages(long endNanoTime) throws IOException {
         while (!client.activity().isClosing()) {
-            if (queue.pauseReaderIfFull()) {
-                in.pauseMessageTimer();
-                return;
-            }
             ReadStatus status = in.nextMessage(!started);
             if (status == ReadStatus.INCOMPLETE) {
-                return;
+                return true;
             }
-            if (status != ReadStatus.MESSAGE) {
-                if (started) {
-                    closeWithError(
-                            status == ReadStatus.OUT_OF_MEMORY
-                                    ? "a long message while there is no room for more of them"
-                                    : "a message of impossible length");
-                } else {
-                    respond(StartupResponse.fatal(
-                            ErrorResponse.PROTOCOL_VIOLATION, "a startup message of impossible length"));
-                }
-            } else if (started) {
-                client.activity().markUsed();
-                handleMessage();
+            if (status == ReadStatus.MESSAGE) {
+                handleCompleteMessage(endNanoTime);
             } else {
-                respond(StartupResponse.of(in, clientServer.connectionTable().isFull(), client.cancelKey()));
+                rejectMessage(status);
+            }
+            if (System.nanoTime() >= endNanoTime) {
+                return false;
             }
         }
+        return true;
+    }
+
+    private void handleCompleteMessage(long endNanoTime) throws IOException {
+        if (!started) {
+            respond(StartupResponse.of(in, clientServer.connectionTable().isFull(), client.cancelKey()));
+            return;
+        }
+        client.activity().markUsed();
+        handleMessage(endNanoTime);
+    }
+
+    private void rejectMessage(ReadStatus status) throws IOException {
+        if (!started) {
+            respond(StartupResponse.fatal(ErrorResponse.PROTOCOL_VIOLATION, "a startup message of impossible length"));
+        } else if (status == ReadStatus.OUT_OF_MEMORY) {
+            closeWithError("a long message while there is no room for more of them");
+        } else {
+            closeWithError("a message of impossible length");
+        }
     }
 
     /** Sends the response to a startup message. */
@@ -89,68 +101,70 @@
         }
     }
 
-    private void handleMessage() throws IOException {
+    private void handleMessage(long endNanoTime) throws IOException {
         switch (in.type()) {
-            case 'Q' -> {
-                if (!in.isCStrings(1)) {
-                    closeWithError("a query that is not one text");
-                } else if (skippingToSync) {
-                    return;
-                } else if (client.isTooLate()) {
-                    // It arrived after the final read, so it is rejected in pipeline order and not forwarded.
-                    QueryRejection.DRAINING.record(dispatcher.monitor());
-                    add(new PipelineEntry(
-                            ErrorResponse.error(ErrorResponse.CANNOT_CONNECT_NOW, "this router ends; it has not run"),
-                            false));
-                } else {
-                    add(new PipelineEntry(in.singleCString(), client.readNanos()));
-                }
-            }
+            case 'Q' -> handleQuery(endNanoTime);
             case 'X' -> client.close(CloseCause.CLIENT_TERMINATED);
             case 'P', 'B', 'D', 'E', 'C', 'F', 'H', 'd', 'c', 'f' -> {
                 if (!skippingToSync) {
                     skippingToSync = true;
-                    add(new PipelineEntry(
-                            new MessageWriter()
-                                    .error(
-                                            "ERROR",
-                                            ErrorResponse.FEATURE_NOT_SUPPORTED,
-                                            "only simple queries are spoken here",
-                                            null),
-                            false));
+                    add(new PipelineEntry(ErrorResponse.unsupportedProtocol(), false), endNanoTime);
                 }
             }
             case 'S' -> {
                 skippingToSync = false;
-                add(new PipelineEntry(new MessageWriter().readyForQuery(), false));
+                add(new PipelineEntry(new MessageWriter().readyForQuery(), false), endNanoTime);
             }
             default -> closeWithError("a message of an unknown type");
         }
     }
 
+    private void handleQuery(long endNanoTime) throws IOException {
+        if (!in.isCStrings(1)) {
+            closeWithError("a query that is not one text");
+            return;
+        }
+        if (skippingToSync) {
+            return;
+        }
+        if (client.isTooLate()) {
+            // It arrived after the final read, so it is rejected in pipeline order and not forwarded.
+            QueryRejection.DRAINING.record(dispatcher.monitor());
+            add(
+                    new PipelineEntry(
+                            ErrorResponse.error(ErrorResponse.CANNOT_CONNECT_NOW, "this router ends; it has not run"),
+                            false),
+                    endNanoTime);
+            return;
+        }
+        String query = in.singleCString();
+        add(
+                query != null
+                        ? new PipelineEntry(query, client.readNanos())
+                        : new PipelineEntry(
+                                ErrorResponse.error(
+                                        ErrorResponse.CHARACTER_NOT_IN_REPERTOIRE, "a query that is not UTF-8"),
+                                false),
+                endNanoTime);
+    }
+
     /** Sends an error in pipeline order, after which the connection closes. */
     void closeWithError(String message) throws IOException {
-        add(new PipelineEntry(ErrorResponse.fatal(ErrorResponse.PROTOCOL_VIOLATION, message), true));
+        add(new PipelineEntry(ErrorResponse.fatal(ErrorResponse.PROTOCOL_VIOLATION, message), true), Long.MAX_VALUE);
         client.activity().markClosing();
     }
 
-    private void add(PipelineEntry entry) throws IOException {
+    /** Adds an entry, and starts its task or writes the answers that are due. */
+    private void add(PipelineEntry entry, long endNanoTime) throws IOException {
         switch (queue.add(entry)) {
             case START_TASK -> {
-                if (!clientServer.execute(task) && queue.releaseTask(entry)) {
-                    // No thread is available, so the request is rejected before it is submitted.
-                    QueryRejection.NO_THREAD.record(dispatcher.monitor());
-                    sendNow(ErrorResponse.error(
-                            ErrorResponse.TOO_MANY_CONNECTIONS,
-                            "declined, as too many txns are in hand; it has not run"));
-                }
+                task.startReservedTask();
+                task.writeAnswers(endNanoTime);
             }
-            case WRITE_NOW -> {
-                // An answer that needs no task is written here; no other thread writes, as no task is running.
-                sendNow(entry.answer());
-                if (entry.closesConnection()) {
-                    channel.shutdownOutput();
-                }
+            case WRITE_NOW -> task.writeAnswers(endNanoTime);
+            case REJECTED -> {
+                QueryRejection.QUEUE_FULL.record(dispatcher.monitor());
+                task.writeAnswers(endNanoTime);
             }
             default -> {}
         }
--- a/src/main/java/beaconladder/server/ClientServer.java
+++ b/src/main/java/beaconladder/server/ClientServer.java
@@ -1,14 +1,17 @@
 package beaconladder.server;
 
 import beaconladder.pg.MemoryLimit;
+import beaconladder.routing.ClientShares;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -17,6 +20,8 @@
 final class ClientServer implements Runnable {
     private static final Logger LOG = LoggerFactory.getLogger(ClientServer.class);
     private static final int SWEEP_INTERVAL_MILLIS = 50;
+    /** Clients wait for the end of the reader's pass; from this length on it is counted and logged. */
+    private static final long LONG_PASS_NANOS = 100_000_000L;
 
     private final RequestDispatcher dispatcher;
     private final ServerConnectionPool serverConnections;
@@ -27,7 +32,15 @@
 
     private final DescriptorLimit descriptors;
     private final ConnectionTable connectionTable;
-    private final Queue<ClientConnection> resumed = new ConcurrentLinkedQueue<>();
+    /** The memory of the queries that wait, and of the large answers that are not written. */
+    private final MemoryPool queryMemory;
+
+    private final MemoryPool answerMemory;
+    /** The connections whose answers or interests have to be looked at. */
+    private final Queue<ClientConnection> attention = new ConcurrentLinkedQueue<>();
+    /** The connections that have sent something and wait for their turn. */
+    private final Set<ClientConnection> readable = new LinkedHashSet<>();
+
     private Selector selector;
     private ClientAcceptor acceptor;
     /** Connections closed since the last selection began; the selector holds their descriptors until the next one. */
@@ -49,6 +62,8 @@
         this.memoryLimit = memoryLimit;
         this.cellMemoryLimits = cellMemoryLimits;
         this.descriptors = descriptors;
+        this.queryMemory = new MemoryPool(memoryLimit.availableBytes(), ClientShares::mayQueue);
+        this.answerMemory = new MemoryPool(memoryLimit.availableBytes(), ClientShares::mayKeepAnswer);
         this.connectionTable = new ConnectionTable(serverConnections, descriptors, maxDescriptors);
     }
 
@@ -69,12 +84,14 @@
                 int closed = closedSinceSelect;
                 closedSinceSelect = 0;
                 try {
-                    selector.select(this::onReady, SWEEP_INTERVAL_MILLIS);
+                    select();
                 } finally {
                     descriptors.release(DescriptorLimit.Use.CLIENT, closed);
                 }
+                long passBeginNanoTime = System.nanoTime();
                 acceptor.acceptQueued();
-                resume();
+                lookAtConnections();
+                giveTurns();
                 if (shutdown != null && !listenerClosed) {
                     listenerClosed = true;
                     acceptor.close();
@@ -88,6 +105,7 @@
                     lastSweepNanoTime = now;
                     sweep(now);
                 }
+                recordPass(System.nanoTime() - passBeginNanoTime);
             } catch (IOException | RuntimeException | Error e) {
                 LOG.error("the client reader continues after an internal error", e);
                 connectionTable.freeDescriptor();
@@ -110,9 +128,37 @@
         }
     }
 
-    private void resume() {
-        for (ClientConnection client = resumed.poll(); client != null; client = resumed.poll()) {
-            if (connectionTable.all().contains(client) && client.resume()) {
+    private void select() throws IOException {
+        if (readable.isEmpty()) {
+            selector.select(this::onReady, SWEEP_INTERVAL_MILLIS);
+        } else {
+            selector.selectNow(this::onReady);
+        }
+    }
+
+    private void onReady(SelectionKey key) {
+        if (!key.isValid()) {
+            return;
+        }
+        if (!(key.attachment() instanceof ClientConnection client)) {
+            acceptor.accept();
+            return;
+        }
+        if (key.isWritable()) {
+            requestAttention(client);
+        }
+        if (key.isReadable()) {
+            readable.add(client);
+        }
+    }
+
+    /** Looks at the connections that need it, each once, so that others can't keep the reader from its next step. */
+    private void lookAtConnections() {
+        int count = attention.size();
+        long turnNanos = ClientShares.turnNanos(count);
+        for (int i = 0; i < count; i++) {
+            ClientConnection client = attention.poll();
+            if (connectionTable.all().contains(client) && client.writeAnswers(turnNanos)) {
                 updateInterest(client);
                 if (shutdown != null) {
                     client.closeIfIdle(Long.MAX_VALUE);
@@ -121,23 +167,33 @@
         }
     }
 
-    private void onReady(SelectionKey key) {
-        if (!key.isValid()) {
-            return;
-        }
-        if (key.attachment() instanceof ClientConnection client) {
-            if (client.onReadable()) {
+    /** Reads from each client that has sent something, for a limited time; the rest waits for the next pass. */
+    private void giveTurns() {
+        List<ClientConnection> clients = List.copyOf(readable);
+        readable.clear();
+        long turnNanos = ClientShares.turnNanos(clients.size());
+        for (ClientConnection client : clients) {
+            if (connectionTable.all().contains(client) && client.onReadable(turnNanos)) {
                 updateInterest(client);
+                if (client.hasMessagesLeft()) {
+                    readable.add(client);
+                }
             }
-        } else {
-            acceptor.accept();
+        }
+    }
+
+    private void recordPass(long passNanos) {
+        if (passNanos > LONG_PASS_NANOS) {
+            dispatcher.monitor().counters().add("reader", ReaderDelay.LONG_PASS);
+            LOG.warn("the reader took {} ms for one pass over its clients", passNanos / 1_000_000);
         }
     }
 
     private void updateInterest(ClientConnection client) {
         SelectionKey key = ((ClientChannel.OfSocket) client.channel()).channel().keyFor(selector);
         if (key != null && key.isValid()) {
-            key.interestOps(client.wantsRead() ? SelectionKey.OP_READ : 0);
+            key.interestOps((client.wantsRead() ? SelectionKey.OP_READ : 0)
+                    | (client.wantsWrite() ? SelectionKey.OP_WRITE : 0));
         }
     }
 
@@ -155,11 +211,13 @@
         }
     }
 
-    /** Resumes reading from a client whose pipeline has space again. May be called by any thread. */
-    void resume(ClientConnection client) {
-        resumed.add(client);
-        if (selector != null) {
-            selector.wakeup();
+    /** Makes the reader look at a connection whose client receives no more, or is to be closed. By any thread. */
+    void requestAttention(ClientConnection client) {
+        if (client.requestAttention()) {
+            attention.add(client);
+            if (selector != null) {
+                selector.wakeup();
+            }
         }
     }
 
@@ -195,9 +253,19 @@
         return connectionTable.all().size();
     }
 
-    /** Starts a client's task; returns false if no thread is available for it. */
-    boolean execute(Runnable task) {
-        return threadLimit.hasCapacity(1) && threadLimit.tryExecute(task);
+    /** The memory of the queries that wait. */
+    MemoryPool queryMemory() {
+        return queryMemory;
+    }
+
+    /** The memory of the large answers that are not written. */
+    MemoryPool answerMemory() {
+        return answerMemory;
+    }
+
+    /** Starts a task of a client that has this many others; returns false if no thread is available for it. */
+    boolean execute(Runnable task, int otherTasks) {
+        return ClientShares.mayUseThread(otherTasks, threadLimit.freeThreads()) && threadLimit.tryExecute(task);
     }
 
     /** Removes a client whose connection is closed. Must be called by the reader's thread. */
--- a/src/main/java/beaconladder/server/ErrorResponse.java
+++ b/src/main/java/beaconladder/server/ErrorResponse.java
@@ -26,6 +26,11 @@
         return new MessageWriter().error("FATAL", sqlState, message, null);
     }
 
+    /** The error of a message of the extended query protocol; the client's Sync ends it. */
+    static MessageWriter unsupportedProtocol() {
+        return new MessageWriter().error("ERROR", FEATURE_NOT_SUPPORTED, "only simple queries are spoken here", null);
+    }
+
     /** The rejection of a query for this reason; the query has not run. */
     static MessageWriter rejected(String reason, long retryAfterNanos) {
         return notRun("declined, as " + reason + "; it has not run", retryAfterNanos);
--- a/src/main/java/beaconladder/server/InFlightRequest.java
+++ b/src/main/java/beaconladder/server/InFlightRequest.java
@@ -54,13 +54,17 @@
         }
     }
 
+    /** The client's id of the request. */
+    final String id;
+
     final Request request;
     final Statement statement;
     private final ArrayDeque<Command> commands = new ArrayDeque<>();
     /** Whether the task is busy with an attempt, so that it can't start another. */
     private boolean sending;
 
-    InFlightRequest(Request request, Statement statement) {
+    InFlightRequest(String id, Request request, Statement statement) {
+        this.id = id;
         this.request = request;
         this.statement = statement;
     }
@@ -77,6 +81,7 @@
         Statement statement = parameters.statement();
         boolean retriedByClient = "1".equals(statement.parameter("r"));
         return new InFlightRequest(
+                parameters.id(),
                 new Request(
                         sequenceNumber,
                         requestClass,
--- a/src/main/java/beaconladder/server/PendingActions.java
+++ b/src/main/java/beaconladder/server/PendingActions.java
@@ -39,6 +39,7 @@
 
     void add(InFlightRequest inFlight) {
         inFlightRequests.put(inFlight.request, inFlight);
+        inFlight.request.clientRequests.inFlight++;
     }
 
     /** The request in flight with this routing state, or null where it has ended. */
@@ -103,7 +104,9 @@
     public void onRequestEnded(Request request) {
         trace.requestEvent(request, "over", dispatcher.nowNanos());
         trace.forget(request);
-        inFlightRequests.remove(request);
+        if (inFlightRequests.remove(request) != null) {
+            request.clientRequests.inFlight--;
+        }
         overdueRequests.remove(request);
         if (admission != null) {
             admission.requestEnded(request);
--- a/src/main/java/beaconladder/server/PipelineQueue.java
+++ b/src/main/java/beaconladder/server/PipelineQueue.java
@@ -1,120 +1,286 @@
 package beaconladder.server;
 
-import beaconladder.pg.MessageReader;
+import beaconladder.pg.MessageWriter;
+import beaconladder.routing.ClientShares;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.List;
+import java.util.PriorityQueue;
+import java.util.function.Function;
 
 /**
- * The pipelined queries of one client. The reader adds them and several tasks complete them concurrently; one task at a
- * time writes the answers, in the order in which the queries arrived.
+ * The pipelined queries of one client. The reader adds them and several tasks complete them concurrently; one thread at
+ * a time writes the answers, in the order in which the queries arrived.
+ *
+ * <p>The first {@value #MAX_ACTIVE_ENTRIES} queries are active: parsed, and run as far as they do not have to wait for
+ * each other. Later ones are only kept as texts, as far as the memory for them allows, and rejected beyond it, so that
+ * the reader never has to leave a client's bytes unread and notices its close behind them.
  */
 final class PipelineQueue {
-    /** At most this many pipelined queries are read; further ones stay in the socket's receive buffer. */
-    private static final int MAX_ENTRIES = 64;
-    /** Bound of the characters of all queries in the queue: those of one query of the maximum length. */
-    private static final int MAX_CHARS = MessageReader.MAX_MESSAGE_BYTES / 2;
-    /** Bound of one client's concurrent tasks: a quarter of the smallest possible thread limit. */
-    private static final int MAX_TASKS = 16;
+    private static final int MAX_ACTIVE_ENTRIES = 64;
+    /** The memory of an active query: its parsed statement and its request. */
+    private static final int ACTIVE_BYTES = 1_024;
+    /** Answers up to this size are not counted. */
+    private static final int SMALL_ANSWER_BYTES = 2_048;
 
     /** What the caller of {@link #add} has to do. */
     enum AddResult {
         QUEUED,
         START_TASK,
-        WRITE_NOW
+        WRITE_NOW,
+        /** As WRITE_NOW; the query is rejected in its turn. */
+        REJECTED
     }
 
-    /** The entries whose answers are not completely written, in the order of their arrival. */
+    private final MemoryPool queryMemory;
+    private final MemoryPool answerMemory;
+    /** Returns the router's own answer to a query that no host has to run, or null. */
+    private final Function<PipelineEntry, MessageWriter> localAnswers;
+
+    /** The active entries: those whose answers are not completely written, in the order of their arrival. */
     private final ArrayDeque<PipelineEntry> entries = new ArrayDeque<>();
+    /** The entries behind the active ones. */
+    private final ArrayDeque<PipelineEntry> backlog = new ArrayDeque<>();
+    /** The active entries that can be started. */
+    private final PriorityQueue<PipelineEntry> runnable =
+            new PriorityQueue<>(Comparator.comparingLong(entry -> entry.sequenceNumber));
+
+    private long nextSequenceNumber;
+    /** The memory reserved for all entries, and for the large ones of the answers that are not written. */
+    private long queryBytes;
 
-    private int chars;
+    private long answerBytes;
     private int taskCount;
-    /** Whether a task is writing the answer of the first entry. */
+    /** The tasks that were reserved and have not taken an entry yet. */
+    private int startingTasks;
+    /** Whether a thread is writing the answer of the first entry. */
     private boolean writing;
-    /** Whether the reader waits until answers have been written. */
-    private boolean readerPaused;
+    /** Whether the client's receive window was full at the last write; written under the monitor. */
+    private volatile boolean writeBlocked;
+    /** The {@code System.nanoTime} of the last write that transferred something, or of its first failure to. */
+    private volatile long lastProgressNanoTime;
 
-    private boolean closed;
+    private volatile boolean closed;
 
-    /** Adds an entry, unless the queue is closed or the entry has its answer and can be written at once. */
+    PipelineQueue(
+            MemoryPool queryMemory, MemoryPool answerMemory, Function<PipelineEntry, MessageWriter> localAnswers) {
+        this.queryMemory = queryMemory;
+        this.answerMemory = answerMemory;
+        this.localAnswers = localAnswers;
+    }
+
+    /**
+     * Adds an entry, or its rejection where the client holds its share of the memory already. Ignored once the queue is
+     * closed.
+     */
     synchronized AddResult add(PipelineEntry entry) {
         if (closed) {
             return AddResult.QUEUED;
         }
-        if (entries.isEmpty() && entry.answer != null) {
-            return AddResult.WRITE_NOW;
+        if (reserveQueryMemory(entry, entry.queuedBytes()) || entry.closesConnection) {
+            backlog.add(entry);
+        } else {
+            addRejection();
+            activate();
+            return AddResult.REJECTED;
+        }
+        activate();
+        if (reserveTask(ClientShares.MAX_CONCURRENT_REQUESTS)) {
+            return AddResult.START_TASK;
+        }
+        return isWriteDue() ? AddResult.WRITE_NOW : AddResult.QUEUED;
+    }
+
+    private boolean reserveQueryMemory(PipelineEntry entry, int bytes) {
+        if (!queryMemory.tryReserve(queryBytes, bytes)) {
+            return false;
+        }
+        entry.queryBytes += bytes;
+        queryBytes += bytes;
+        return true;
+    }
+
+    private void addRejection() {
+        PipelineEntry last = backlog.peekLast();
+        if (last != null && last.rejections > 0) {
+            last.rejections++;
+        } else {
+            backlog.add(PipelineEntry.rejection());
+        }
+    }
+
+    /** Moves entries from the backlog to the active ones, as far as their number and the memory allow. */
+    private void activate() {
+        while (!backlog.isEmpty() && entries.size() < MAX_ACTIVE_ENTRIES) {
+            PipelineEntry next = backlog.peek();
+            if (next.rejections > 0) {
+                entries.add(takeRejection(next));
+            } else if (next.answer != null || entries.isEmpty() || reserveQueryMemory(next, ACTIVE_BYTES)) {
+                activate(backlog.poll());
+            } else {
+                return;
+            }
+        }
+    }
+
+    private PipelineEntry takeRejection(PipelineEntry rejections) {
+        rejections.rejections--;
+        if (rejections.rejections == 0) {
+            backlog.poll();
+        }
+        return PipelineEntry.rejected(ErrorResponse.rejected("too many queries of this client are queued", 0));
+    }
+
+    private void activate(PipelineEntry entry) {
+        entry.sequenceNumber = nextSequenceNumber++;
+        if (entry.answer == null) {
+            entry.answer = localAnswers.apply(entry);
+        }
+        if (entry.answer == null) {
+            for (PipelineEntry earlier : entries) {
+                entry.conflictsBefore += earlier.answer == null && earlier.conflictsWith(entry) ? 1 : 0;
+            }
+            if (entry.conflictsBefore == 0) {
+                runnable.add(entry);
+            }
         }
         entries.add(entry);
-        chars += entry.queryLength();
-        return reserveTask(MAX_TASKS) ? AddResult.START_TASK : AddResult.QUEUED;
     }
 
     /** Returns whether one more task can run an entry now; if so, the task counts as started. */
     synchronized boolean reserveTask(int maxTasks) {
-        boolean reserved = taskCount < Math.min(MAX_TASKS, maxTasks) && !closed && firstRunnable() != null;
+        boolean reserved = taskCount < Math.min(ClientShares.MAX_CONCURRENT_REQUESTS, maxTasks)
+                && runnable.size() > startingTasks
+                && mayStart();
         taskCount += reserved ? 1 : 0;
+        startingTasks += reserved ? 1 : 0;
         return reserved;
     }
 
+    /** Whether the first of the entries that can be started may be: always if its answer is due next. */
+    private boolean mayStart() {
+        return !closed
+                && !runnable.isEmpty()
+                && (runnable.peek() == entries.peek()
+                        || ClientShares.mayStartRequest(
+                                answerBytes, answerMemory.freeBytes(), answerMemory.poolBytes()));
+    }
+
     /**
      * Releases a reserved task that could not be started.
      *
-     * @return whether the entry was removed, as no other task is running to complete it
+     * @return the entry that the caller has to complete with a rejection, as no other task is running; or null
      */
-    synchronized boolean releaseTask(PipelineEntry entry) {
+    synchronized PipelineEntry releaseTask() {
         taskCount--;
-        boolean removed = taskCount == 0 && entries.remove(entry);
-        chars -= removed ? entry.queryLength() : 0;
-        return removed;
+        startingTasks = Math.max(0, startingTasks - 1);
+        return taskCount == 0 ? runnable.poll() : null;
+    }
+
+    /** The number of tasks that are started or reserved. */
+    synchronized int taskCount() {
+        return taskCount;
     }
 
     /** Starts and returns the next entry for a task; null where the task has to end. */
     synchronized PipelineEntry startNext(int maxTasks) {
-        PipelineEntry next = closed || taskCount > maxTasks ? null : firstRunnable();
-        if (next == null) {
-            taskCount--;
-        } else {
-            next.started = true;
-        }
+        startingTasks = Math.max(0, startingTasks - 1);
+        PipelineEntry next = taskCount <= maxTasks && mayStart() ? runnable.poll() : null;
+        taskCount -= next == null ? 1 : 0;
         return next;
     }
 
-    /** The first entry that is not started and conflicts with no earlier entry without an answer. */
-    private PipelineEntry firstRunnable() {
+    /**
+     * Sets an entry's answer; the time budget of the entries that had to wait for it begins now. An answer for which
+     * there is no memory is replaced by an error.
+     *
+     * @return whether the answer will be written; not if the queue has been closed
+     */
+    synchronized boolean complete(PipelineEntry completed, QueryReply reply, long nowNanos) {
+        if (closed) {
+            return false;
+        }
+        completed.answer = reply.messages();
+        completed.closesConnection = reply.closesConnection();
+        if (completed.answer.size() > SMALL_ANSWER_BYTES) {
+            keepLargeAnswer(completed);
+        }
         for (PipelineEntry each : entries) {
-            if (!each.started
-                    && entries.stream()
-                            .takeWhile(earlier -> earlier != each)
-                            .noneMatch(earlier -> earlier.answer == null && earlier.conflictsWith(each))) {
-                return each;
+            if (each.conflictsBefore > 0
+                    && each.sequenceNumber > completed.sequenceNumber
+                    && each.conflictsWith(completed)) {
+                each.startNanos = nowNanos;
+                each.conflictsBefore--;
+                if (each.conflictsBefore == 0) {
+                    runnable.add(each);
+                }
             }
         }
-        return null;
+        return true;
     }
 
-    /** Sets an entry's answer; the time budget of the entries that had to wait for it begins now. */
-    synchronized void complete(PipelineEntry completed, QueryReply reply, long nowNanos) {
-        completed.answer = reply.messages();
-        completed.closesConnection = reply.closesConnection();
-        entries.stream()
-                .filter(each -> !each.started && each.conflictsWith(completed))
-                .forEach(each -> each.startNanos = nowNanos);
+    private void keepLargeAnswer(PipelineEntry completed) {
+        if (entries.peek() != completed || writeBlocked) {
+            completed.answer.trimToSize();
+        }
+        int size = completed.answer.size();
+        if (answerMemory.tryReserve(answerBytes, size)) {
+            completed.answerBytes = size;
+            answerBytes += size;
+        } else {
+            completed.answer = ErrorResponse.error(
+                    ErrorResponse.STATEMENT_COMPLETION_UNKNOWN,
+                    "it has run, and there is no memory for its answer, as earlier answers are not read");
+        }
     }
 
-    /** Returns the first entry if it has its answer and no task is writing, else null; the caller has to write it. */
+    /** Returns the first entry if it has its answer and no thread is writing, else null; the caller has to write it. */
     synchronized PipelineEntry beginWrite() {
-        PipelineEntry first = entries.peek();
-        if (writing || closed || first == null || first.answer == null) {
+        if (!isWriteDue()) {
             return null;
         }
         writing = true;
-        return first;
+        return entries.peek();
+    }
+
+    private boolean isWriteDue() {
+        PipelineEntry first = entries.peek();
+        return !writing && !closed && first != null && first.answer != null;
     }
 
     /** Removes the first entry, whose answer has been written. */
     synchronized void endWrite() {
         writing = false;
+        writeBlocked = false;
         PipelineEntry first = entries.poll();
-        chars -= first == null ? 0 : first.queryLength();
+        if (first != null) {
+            release(first);
+        }
+        activate();
+    }
+
+    /** Ends the writing for now, as the client's receive window is full. */
+    synchronized void suspendWrite(boolean progressed, long nowNanoTime) {
+        lastProgressNanoTime = progressed || !writeBlocked ? nowNanoTime : lastProgressNanoTime;
+        writing = false;
+        writeBlocked = true;
+    }
+
+    /** Returns whether an answer waits until the client can receive more. */
+    boolean isWriteBlocked() {
+        return writeBlocked && !closed;
+    }
+
+    /** Returns whether nothing could be written to the client for this long. */
+    boolean isStalled(long timeoutNanos, long nowNanoTime) {
+        return writeBlocked && !closed && nowNanoTime - lastProgressNanoTime > timeoutNanos;
+    }
+
+    private void release(PipelineEntry entry) {
+        queryMemory.release(entry.queryBytes);
+        queryBytes -= entry.queryBytes;
+        answerMemory.release(entry.answerBytes);
+        answerBytes -= entry.answerBytes;
     }
 
     /** The first entry without an answer, or null. */
@@ -124,51 +290,43 @@
 
     /** The number of queries for which the writing of the answer has not begun. */
     synchronized int unansweredQueries() {
-        int beingWritten = writing ? 1 : 0;
-        return (int) entries.stream()
-                .skip(beingWritten)
-                .filter(each -> each.query() != null)
-                .count();
-    }
-
-    /** Returns whether there is an entry for which the writing of the answer has not begun. */
-    synchronized boolean hasUnwritten() {
-        return entries.size() > (writing ? 1 : 0);
-    }
-
-    /** Returns whether no more queries may be read until answers have been written. */
-    synchronized boolean isFull() {
-        return !closed && (entries.size() >= MAX_ENTRIES || chars >= MAX_CHARS);
+        int count = 0;
+        for (PipelineEntry entry : entries) {
+            count += entry.isQuery() && !isBeingWritten(entry) ? 1 : 0;
+        }
+        for (PipelineEntry entry : backlog) {
+            count += entry.rejections + (entry.isQuery() ? 1 : 0);
+        }
+        return count;
     }
 
-    /** Returns whether the queue is full; if so, the reader waits until {@link #resumeReader} has returned true. */
-    synchronized boolean pauseReaderIfFull() {
-        readerPaused = isFull();
-        return readerPaused;
+    private boolean isBeingWritten(PipelineEntry entry) {
+        return entry == entries.peek() && (writing || entry.isWriteBegun());
     }
 
-    /** Returns whether the reader has paused, once per pause; the caller then has to wake the reader. */
-    synchronized boolean resumeReader() {
-        boolean paused = readerPaused;
-        readerPaused = false;
-        return paused;
+    /** Returns whether there is an entry for which the writing of the answer has not begun. */
+    synchronized boolean hasUnwritten() {
+        return !backlog.isEmpty() || entries.stream().anyMatch(entry -> !isBeingWritten(entry));
     }
 
     /**
      * Closes the queue, as the client has disconnected or its connection is closing; entries that are not started are
      * dropped.
      *
-     * @return the entries that were in the queue
+     * @return the active entries that were in the queue
      */
     synchronized List<PipelineEntry> close() {
         closed = true;
         List<PipelineEntry> removed = List.copyOf(entries);
+        entries.forEach(this::release);
+        backlog.forEach(this::release);
         entries.clear();
-        chars = 0;
+        backlog.clear();
+        runnable.clear();
         return removed;
     }
 
-    synchronized boolean isClosed() {
+    boolean isClosed() {
         return closed;
     }
 
@@ -178,6 +336,6 @@
     }
 
     synchronized boolean isIdle() {
-        return entries.isEmpty() && !closed;
+        return entries.isEmpty() && backlog.isEmpty() && !closed;
     }
 }
--- a/src/main/java/beaconladder/server/QueryHandler.java
+++ b/src/main/java/beaconladder/server/QueryHandler.java
@@ -29,12 +29,16 @@
         this.admission = admission;
     }
 
-    /** Returns the final answer to a query, after at most the query's time budget. */
+    /** Returns the router's own answer to a query that no host has to run or that is invalid, or null. */
+    MessageWriter localAnswer(PipelineEntry entry) {
+        return ParsedQuery.parse(entry.query(), entry.statement(), dispatcher).answer();
+    }
+
+    /**
+     * Returns the final answer to a query, after at most the query's time budget. The request stays set at the entry,
+     * so that its id is released once the answer is written.
+     */
     QueryReply answer(PipelineEntry entry) throws InterruptedException {
-        if (entry.query() == null) {
-            return QueryReply.of(
-                    ErrorResponse.error(ErrorResponse.CHARACTER_NOT_IN_REPERTOIRE, "a query that is not UTF-8"));
-        }
         ParsedQuery query = ParsedQuery.parse(entry.query(), entry.statement(), dispatcher);
         if (query.answer() != null) {
             return QueryReply.of(query.answer());
@@ -81,7 +85,7 @@
 
     private QueryReply execute(PipelineEntry entry, ParsedQuery query, RequestParameters parameters)
             throws InterruptedException {
-        InFlightRequest request = dispatcher.submit(parameters);
+        InFlightRequest request = dispatcher.submit(parameters, client.requests());
         if (request == null) {
             if (parameters.permit() != null) {
                 dispatcher.cells().releasePermit(parameters.permit());
@@ -94,12 +98,7 @@
         if (isAbandoned(entry).getAsBoolean()) {
             dispatcher.abandon(request);
         }
-        try {
-            return QueryReply.of(runCommands(entry, request));
-        } finally {
-            entry.setInFlight(null);
-            dispatcher.releaseId(query.id(), request);
-        }
+        return QueryReply.of(runCommands(entry, request));
     }
 
     private BooleanSupplier isAbandoned(PipelineEntry entry) {
--- a/src/main/java/beaconladder/server/QueryRejection.java
+++ b/src/main/java/beaconladder/server/QueryRejection.java
@@ -6,7 +6,8 @@
     NO_TIME,
     DRAINING,
     DUPLICATE_ID,
-    NOT_ADMITTED;
+    NOT_ADMITTED,
+    QUEUE_FULL;
 
     /** Counts and traces one rejected query. */
     void record(Monitor monitor) {
--- a/src/main/java/beaconladder/server/RequestDispatcher.java
+++ b/src/main/java/beaconladder/server/RequestDispatcher.java
@@ -6,6 +6,7 @@
 import beaconladder.routing.RoutingPolicy;
 import beaconladder.routing.api.DecisionLoop;
 import beaconladder.routing.api.Router;
+import beaconladder.routing.state.ClientRequests;
 import beaconladder.routing.state.Group;
 import beaconladder.routing.state.Host;
 import beaconladder.routing.state.RequestClass;
@@ -154,6 +155,11 @@
      * @return the request, or null where another one with this id is in flight or may have run
      */
     InFlightRequest submit(RequestParameters parameters) {
+        return submit(parameters, new ClientRequests());
+    }
+
+    /** Does the same for a request of a connection with these requests in flight. */
+    InFlightRequest submit(RequestParameters parameters, ClientRequests clientRequests) {
         lock.lock();
         InFlightRequest inFlight;
         try {
@@ -165,6 +171,7 @@
                     parameters,
                     router.requestClass(parameters.classIndex()),
                     settingIndex.tenantIndex(parameters.statement().parameter("t")));
+            inFlight.request.clientRequests = clientRequests;
             pendingActions.add(inFlight);
             trace.submitted(inFlight.request, parameters.id(), nowNanos());
             if (parameters.permit() != null) {
@@ -177,12 +184,17 @@
         return inFlight;
     }
 
-    /** Releases the id of a request that has ended for its client, at once or after the time that the policy sets. */
-    void releaseId(String id, InFlightRequest inFlight) {
+    /** Releases the id of a request whose answer has been written. */
+    void releaseAnsweredId(InFlightRequest inFlight) {
+        requestIds.release(inFlight.id);
+    }
+
+    /** Releases the id of a request whose client has left, at once or after the time that the policy sets. */
+    void releaseAbandonedId(InFlightRequest inFlight) {
         lock.lock();
         try {
             long now = nowNanos();
-            requestIds.release(id, router.idReservedUntilNanos(inFlight.request, now), now);
+            requestIds.release(inFlight.id, router.idReservedUntilNanos(inFlight.request, now), now);
         } finally {
             lock.unlock();
         }
--- a/src/main/java/beaconladder/server/RequestIds.java
+++ b/src/main/java/beaconladder/server/RequestIds.java
@@ -27,6 +27,11 @@
         return !reserved.containsKey(id) && inFlight.add(id);
     }
 
+    /** Ends the use of an id, which can be used again at once. */
+    synchronized void release(String id) {
+        inFlight.remove(id);
+    }
+
     /** Ends the use of an id, and reserves it until the given time. */
     synchronized void release(String id, long reservedUntilNanos, long nowNanos) {
         inFlight.remove(id);
--- a/src/main/java/beaconladder/server/RequestTask.java
+++ b/src/main/java/beaconladder/server/RequestTask.java
@@ -9,16 +9,12 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Completes a client's queries, one after the other, until the queue is empty. For a client that pipelines, several
+ * Completes a client's queries, one after the other, until none can be started. For a client that pipelines, several
  * threads run it concurrently, since the time budget of each query runs from the query's own last byte. The thread that
- * has completed the answer that is due next writes it.
+ * has completed the answer that is due next writes it, as far as the client receives it; the reader writes the rest.
  */
 final class RequestTask implements Runnable {
     private static final Logger LOG = LoggerFactory.getLogger(RequestTask.class);
-    /** A client is disconnected when none of an answer could be written to it for this long. */
-    private static final long WRITE_TIMEOUT_NANOS = 5_000_000_000L;
-
-    private static final int WRITE_RETRY_MILLIS = 2;
 
     private final ClientConnection client;
     private final ClientServer clientServer;
@@ -47,20 +43,24 @@
     public void run() {
         for (PipelineEntry next = queue.startNext(maxTasks()); next != null; next = queue.startNext(maxTasks())) {
             try {
-                startMoreTasks();
-                queue.complete(next, handler.answer(next), dispatcher.nowNanos());
-                startMoreTasks();
-                writeAnswers();
+                startTasks();
+                if (!queue.complete(next, handler.answer(next), dispatcher.nowNanos())) {
+                    releaseAbandonedId(next);
+                }
+                startTasks();
+                writeAnswers(Long.MAX_VALUE);
             } catch (IOException | InterruptedException e) {
                 closeConnection();
+                releaseAbandonedId(next);
             } catch (RuntimeException | Error e) {
                 LOG.error("closing a client's connection after an internal error", e);
                 closeConnection();
+                releaseAbandonedId(next);
             }
             client.activity().markUsed();
         }
         if (clientServer.shutdown() != null) {
-            clientServer.resume(client);
+            clientServer.requestAttention(client);
         }
     }
 
@@ -71,26 +71,52 @@
         return dispatcher.hasCells() && admission.connectionPermit() == null ? 1 : Integer.MAX_VALUE;
     }
 
-    /** Starts a task for each entry that can run now; an entry for which no thread is free is left to this task. */
-    private void startMoreTasks() {
-        while (queue.reserveTask(maxTasks())) {
-            if (!clientServer.execute(this)) {
-                queue.releaseTask(null);
-                return;
-            }
+    /**
+     * Starts a task for each entry that can run now. An entry for which there is no thread is left to a running task;
+     * without one it is rejected before it is submitted.
+     */
+    void startTasks() {
+        boolean advances = true;
+        while (advances && queue.reserveTask(maxTasks())) {
+            advances = startReservedTask();
         }
     }
 
+    /** Starts a task that was reserved in the queue, or rejects its entry; returns false if it is left to another. */
+    boolean startReservedTask() {
+        if (clientServer.execute(this, queue.taskCount() - 1)) {
+            return true;
+        }
+        PipelineEntry rejected = queue.releaseTask();
+        if (rejected != null) {
+            QueryRejection.NO_THREAD.record(dispatcher.monitor());
+            queue.complete(
+                    rejected,
+                    QueryReply.of(ErrorResponse.error(
+                            ErrorResponse.TOO_MANY_CONNECTIONS,
+                            "declined, as too many requests are in flight; it has not run")),
+                    dispatcher.nowNanos());
+        }
+        return rejected != null;
+    }
+
     /** Closes a connection that failed, and abandons its requests in flight. */
     private void closeConnection() {
         client.closeChannel();
         abandon(queue.close());
     }
 
-    /** Writes the answers that are due, unless another task is writing. */
-    private void writeAnswers() throws IOException, InterruptedException {
+    /**
+     * Writes the answers that are due, unless another thread is writing, until the client receives no more of them.
+     *
+     * @param endNanoTime the {@code System.nanoTime} after which no further answer is begun, or Long.MAX_VALUE
+     */
+    void writeAnswers(long endNanoTime) throws IOException {
         for (PipelineEntry first = queue.beginWrite(); first != null; first = queue.beginWrite()) {
-            write(first.answer());
+            if (!write(first.unwritten())) {
+                clientServer.requestAttention(client);
+                return;
+            }
             client.activity().markUsed();
             if (first.closesConnection()) {
                 channel.shutdownOutput();
@@ -98,21 +124,52 @@
                 abandon(queue.close());
             }
             queue.endWrite();
-            if (queue.resumeReader()) {
-                clientServer.resume(client);
+            InFlightRequest answered = first.takeInFlight();
+            if (answered != null) {
+                dispatcher.releaseAnsweredId(answered);
+            }
+            startTasks();
+            if (endNanoTime != Long.MAX_VALUE && System.nanoTime() >= endNanoTime) {
+                clientServer.requestAttention(client);
+                return;
             }
         }
     }
 
+    /** Writes what the client can receive; returns false if bytes are left, which ends the writing for now. */
+    private boolean write(ByteBuffer bytes) throws IOException {
+        boolean progressed = false;
+        int limit = bytes.limit();
+        while (bytes.hasRemaining()) {
+            bytes.limit(Math.min(limit, bytes.position() + MessageWriter.MAX_WRITE_BYTES));
+            int written = channel.write(bytes);
+            bytes.limit(limit);
+            if (written == 0) {
+                queue.suspendWrite(progressed, System.nanoTime());
+                return false;
+            }
+            progressed = true;
+        }
+        return true;
+    }
+
     /** Cancels the query whose answer is due next; the queries pipelined after it continue. */
     void cancel() {
         PipelineEntry current = queue.firstUnanswered();
         if (current != null) {
             current.cancel();
-            abandon(List.of(current));
+            InFlightRequest request = current.inFlight();
+            if (request != null) {
+                dispatcher.abandon(request);
+            }
         }
     }
 
+    /** The router's own answer to a query that no host has to run, or null. */
+    MessageWriter localAnswer(PipelineEntry entry) {
+        return handler.localAnswer(entry);
+    }
+
     /** The permit by which the connection counts towards its tenant's quota, or null. */
     AdmissionPermit connectionPermit() {
         return admission.connectionPermit();
@@ -124,7 +181,11 @@
     void onDisconnected() {
         List<PipelineEntry> entries = queue.close();
         admission.releaseConnection();
-        abandon(entries);
+        boolean hasRequests = entries.stream().anyMatch(entry -> entry.inFlight() != null);
+        // The reader calls this, and must not wait for the dispatcher's lock.
+        if (hasRequests && !clientServer.execute(() -> abandon(entries), 0)) {
+            abandon(entries);
+        }
     }
 
     private void abandon(List<PipelineEntry> entries) {
@@ -133,21 +194,16 @@
             if (request != null) {
                 dispatcher.abandon(request);
             }
+            if (each.answer() != null) {
+                releaseAbandonedId(each);
+            }
         }
     }
 
-    /** Writes all of these messages; waits while the client's receive window is full. */
-    private void write(MessageWriter messages) throws IOException, InterruptedException {
-        ByteBuffer bytes = messages.asByteBuffer();
-        long lastProgressNanos = System.nanoTime();
-        while (bytes.hasRemaining()) {
-            if (channel.write(bytes) > 0) {
-                lastProgressNanos = System.nanoTime();
-            } else if (System.nanoTime() - lastProgressNanos > WRITE_TIMEOUT_NANOS) {
-                throw new ClientStalledException();
-            } else {
-                Thread.sleep(WRITE_RETRY_MILLIS);
-            }
+    private void releaseAbandonedId(PipelineEntry entry) {
+        InFlightRequest request = entry.takeInFlight();
+        if (request != null) {
+            dispatcher.releaseAbandonedId(request);
         }
     }
 }
--- a/src/main/java/beaconladder/server/ThreadLimit.java
+++ b/src/main/java/beaconladder/server/ThreadLimit.java
@@ -15,8 +15,10 @@
     private static final long STACK_BYTES = 256 * 1024;
     /** A thread with its connection was measured at 95 KB of resident memory, 72 KB of them stack. */
     private static final int THREAD_KB = 96;
-    /** The process without clients was measured at 47 MB; as much again is reserved for large values in the heap. */
-    private static final int PROCESS_MB = 96;
+    /** The process without its heap and the threads of clients: code, classes and the JVM's own structures. */
+    private static final int PROCESS_MB = 64;
+
+    private static final int BYTES_PER_MB = 1 << 20;
     /** Under load a thread is reused within milliseconds; each idle thread lengthens every JVM safepoint. */
     private static final int KEEP_ALIVE_SECONDS = 2;
 
@@ -30,7 +32,8 @@
     private final int maxThreads;
 
     ThreadLimit(int memoryMb) {
-        maxThreads = Math.max(MIN_LIMIT, (memoryMb - PROCESS_MB) * 1024 / THREAD_KB);
+        int heapMb = (int) (Runtime.getRuntime().maxMemory() / BYTES_PER_MB);
+        maxThreads = Math.max(MIN_LIMIT, (memoryMb - PROCESS_MB - heapMb) * 1024 / THREAD_KB);
     }
 
     /** The number of threads that may run at once, derived from the memory that the settings state. */
@@ -38,9 +41,9 @@
         return maxThreads;
     }
 
-    /** Returns whether this many additional threads may start. */
-    boolean hasCapacity(int additional) {
-        return inUse.get() + additional <= maxThreads;
+    /** Returns how many additional threads may start. */
+    int freeThreads() {
+        return maxThreads - inUse.get();
     }
 
     /** Creates a daemon thread that is not started and does not count towards the limit. */
--- a/src/test/java/beaconladder/routing/RoutingPolicyTest.java
+++ b/src/test/java/beaconladder/routing/RoutingPolicyTest.java
@@ -184,6 +184,32 @@
                 """);
     }
 
+    /** Guards against a client that pipelines at full speed and takes the turns of all others. */
+    @Test
+    void ofQueuedRequestsOneOfAClientWithFewIsSentBeforeThoseOfAClientWithMany() {
+        Script script = Script.warm()
+                .list("b", false, Host.State.GONE, 0)
+                .list("c", false, Host.State.DRAINING, 0)
+                .list("a", true, Host.State.DRAINING, 0)
+                .request(1, ANY, 0, 2000)
+                .advanceTo(50)
+                .request(2, ANY, 0, 2000)
+                .ofClientWith(2, 16)
+                .request(3, ANY, 0, 2000)
+                .ofClientWith(3, 16)
+                .advanceTo(100)
+                .list("c", false, Host.State.READY, 0)
+                .advanceTo(101);
+        assertThat(script.trace()).isEqualTo("""
+                0 request 1 any
+                50 request 2 any
+                50 request 3 any
+                100   send 1 to c
+                100   send 2 to c
+                100   send 3 to c
+                """);
+    }
+
     @Test
     void aClientsRetryPastItsSlaTimeIsRejectedAtOnce() {
         Script script = Script.warm("limits.retry_after=true", "limits.max_retry_after_us=500000");
--- a/src/test/java/beaconladder/routing/Script.java
+++ b/src/test/java/beaconladder/routing/Script.java
@@ -103,6 +103,12 @@
         return this;
     }
 
+    /** Makes this request one of a client with this many requests in flight. */
+    Script ofClientWith(int id, int requestsInFlight) {
+        requests.get(id).clientRequests.inFlight = requestsInFlight;
+        return this;
+    }
+
     /**
      * Ends the newest attempt in flight of this request, with the role and position (in milliseconds) in its answer.
      */
--- a/src/test/java/beaconladder/server/CounterNamesTest.java
+++ b/src/test/java/beaconladder/server/CounterNamesTest.java
@@ -32,7 +32,8 @@
 
     @Test
     void rejectionsBeforeTheRoutingPolicy() {
-        assertThat(kinds(QueryRejection.values())).isEqualTo("no_thread no_time draining duplicate_id not_admitted");
+        assertThat(kinds(QueryRejection.values()))
+                .isEqualTo("no_thread no_time draining duplicate_id not_admitted queue_full");
     }
 
     @Test
--- a/src/test/java/beaconladder/server/ParsersAndResourcesTest.java
+++ b/src/test/java/beaconladder/server/ParsersAndResourcesTest.java
@@ -252,7 +252,7 @@
                     dispatcher.nowNanos() + 1_000_000,
                     null));
             dispatcher.abandon(inFlight);
-            dispatcher.releaseId("t" + i, inFlight);
+            dispatcher.releaseAbandonedId(inFlight);
             dispatcher.sweep();
         }
         assertThat(dispatcher.trackedCount()).isLessThan(30);
--- a/src/test/java/beaconladder/server/PipelineQueueTest.java
+++ b/src/test/java/beaconladder/server/PipelineQueueTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import beaconladder.pg.MessageWriter;
+import beaconladder.routing.ClientShares;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -10,7 +11,9 @@
 /** The order and the concurrency of pipelined queries, without threads or sockets. */
 class PipelineQueueTest {
     private static final int UNLIMITED = Integer.MAX_VALUE;
-    private final PipelineQueue queue = new PipelineQueue();
+    private final MemoryPool queryMemory = new MemoryPool(1 << 20, ClientShares::mayQueue);
+    private final MemoryPool answerMemory = new MemoryPool(1 << 20, ClientShares::mayKeepAnswer);
+    private final PipelineQueue queue = newQueue();
 
     @Test
     void oneClientHasAtMostSixteenConcurrentTasks() {
@@ -75,13 +78,13 @@
     }
 
     @Test
-    void anEntryWithoutAThreadWaitsForARunningTaskAndIsRemovedWithoutOne() {
+    void anEntryWithoutAThreadWaitsForARunningTaskAndIsRejectedInItsTurnWithoutOne() {
         PipelineEntry first = read("a");
         PipelineEntry second = read("b");
         assertThat(queue.add(first)).isEqualTo(PipelineQueue.AddResult.START_TASK);
         assertThat(queue.startNext(UNLIMITED)).isSameAs(first);
         assertThat(queue.add(second)).isEqualTo(PipelineQueue.AddResult.START_TASK);
-        assertThat(queue.releaseTask(second)).isFalse();
+        assertThat(queue.releaseTask()).isNull();
         complete(first);
         assertThat(queue.startNext(UNLIMITED)).isSameAs(second);
         complete(second);
@@ -92,7 +95,11 @@
         assertThat(queue.startNext(UNLIMITED)).isNull();
         PipelineEntry third = read("c");
         assertThat(queue.add(third)).isEqualTo(PipelineQueue.AddResult.START_TASK);
-        assertThat(queue.releaseTask(third)).isTrue();
+        assertThat(queue.releaseTask()).isSameAs(third);
+        assertThat(queue.reserveTask(UNLIMITED)).isFalse();
+        complete(third);
+        assertThat(queue.beginWrite()).isSameAs(third);
+        queue.endWrite();
         assertThat(queue.isIdle()).isTrue();
     }
 
@@ -109,6 +116,72 @@
         assertThat(queue.add(read("c"))).isEqualTo(PipelineQueue.AddResult.QUEUED);
     }
 
+    /** Guards against a client whose queries fill the memory, and against one whose bytes are left unread. */
+    @Test
+    void queriesBeyondTheClientsShareAreRejectedInTheirTurn() {
+        List<PipelineQueue.AddResult> results = new ArrayList<>();
+        for (int i = 0; i < 3_000; i++) {
+            results.add(queue.add(read("k" + i)));
+        }
+        assertThat(results.get(2_999)).isEqualTo(PipelineQueue.AddResult.REJECTED);
+        assertThat(queryMemory.freeBytes()).isGreaterThan((1 << 20) / 2);
+        assertThat(newQueue().add(read("other"))).isEqualTo(PipelineQueue.AddResult.START_TASK);
+        assertThat(queue.unansweredQueries()).isEqualTo(3_000);
+        int rejected = 0;
+        for (int i = 0; i < 3_000; i++) {
+            PipelineEntry next = queue.startNext(UNLIMITED);
+            if (next == null) {
+                rejected++;
+            } else {
+                assertThat(rejected).isZero();
+                complete(next);
+            }
+            assertThat(queue.beginWrite()).isNotNull();
+            queue.endWrite();
+        }
+        assertThat(rejected)
+                .isEqualTo(results.stream()
+                        .filter(result -> result == PipelineQueue.AddResult.REJECTED)
+                        .count());
+        assertThat(queue.isIdle()).isTrue();
+    }
+
+    /** Guards against answers that fill the memory while their clients do not read them. */
+    @Test
+    void aClientThatHoldsItsShareOfTheAnswersGetsNoFurtherRequestStarted() {
+        for (int i = 0; i < 60; i++) {
+            queue.add(read("k" + i));
+        }
+        PipelineEntry first = queue.startNext(UNLIMITED);
+        int started = 0;
+        for (PipelineEntry next = queue.startNext(UNLIMITED); next != null; next = queue.startNext(UNLIMITED)) {
+            started++;
+            queue.complete(next, largeAnswer(), 0);
+        }
+        assertThat(started).isBetween(1, 10);
+        assertThat(queue.reserveTask(UNLIMITED)).isFalse();
+        queue.complete(first, largeAnswer(), 0);
+        queue.beginWrite();
+        queue.suspendWrite(false, 1);
+        assertThat(queue.isStalled(5, 6)).isFalse();
+        assertThat(queue.isStalled(5, 7)).isTrue();
+        for (int i = 0; i < 5; i++) {
+            queue.beginWrite();
+            queue.endWrite();
+        }
+        assertThat(queue.reserveTask(UNLIMITED)).isTrue();
+        queue.close();
+        assertThat(List.of(queryMemory.freeBytes(), answerMemory.freeBytes())).containsOnly(1L << 20);
+    }
+
+    private PipelineQueue newQueue() {
+        return new PipelineQueue(queryMemory, answerMemory, entry -> null);
+    }
+
+    private static QueryReply largeAnswer() {
+        return QueryReply.of(new MessageWriter().append(new byte[40_000], 0, 40_000));
+    }
+
     private void complete(PipelineEntry entry) {
         queue.complete(entry, QueryReply.of(new MessageWriter().readyForQuery()), 7);
     }
