Let no request of a drain expire after the earliest kill

A pipelined query that had to wait for one of its row could begin after the last read with a time that ends behind the kill.

The process itself still waits as long as before for what it has read.

--- a/src/main/java/beaconladder/server/GracefulShutdown.java
+++ b/src/main/java/beaconladder/server/GracefulShutdown.java
@@ -11,8 +11,11 @@
 record GracefulShutdown(long requestedNanos, long maxRequestNanos) {
     /** The notice period: the protocol's upper bound of the time until connections are directed elsewhere. */
     static final long NOTICE_NANOS = 700_000_000L;
-    /** The protocol's lower bound of the time from the end of the notice period until the process may be killed. */
-    private static final long MIN_KILL_DELAY_NANOS = 3_000_000_000L;
+    /**
+     * The time from the end of the notice period until the process may be killed is the longest deadline, and this
+     * where that is longer.
+     */
+    private static final long MAX_KILL_DELAY_NANOS = 3_000_000_000L;
     /** Margin for a signal that is handled late on a fraction of a core, and for sending the last answers. */
     private static final long SLACK_NANOS = 200_000_000L;
 
@@ -21,9 +24,17 @@
         return requestedNanos + NOTICE_NANOS;
     }
 
-    /** Returns when every request must have its answer, as the process may be killed soon afterwards. */
+    /**
+     * Returns when every request that begins after the last read must have its answer, as the process may be killed
+     * soon afterwards.
+     */
     long endNanos() {
-        return readDeadlineNanos() + Math.max(maxRequestNanos, MIN_KILL_DELAY_NANOS) - SLACK_NANOS;
+        return readDeadlineNanos() + Math.max(0, Math.min(maxRequestNanos, MAX_KILL_DELAY_NANOS) - SLACK_NANOS);
+    }
+
+    /** Returns when the process ends by itself, if it has not been killed: all requests that were read have expired. */
+    long exitNanos() {
+        return readDeadlineNanos() + Math.max(maxRequestNanos, MAX_KILL_DELAY_NANOS) - SLACK_NANOS;
     }
 
     /**
