--- a/src/main/java/beaconladder/server/ClientServer.java
+++ b/src/main/java/beaconladder/server/ClientServer.java
@@ -36,6 +36,7 @@
     private final MemoryPool queryMemory;
 
     private final MemoryPool answerMemory;
+    private final ResourceUse resourceUse;
     /** The connections whose answers or interests have to be looked at. */
     private final Queue<ClientConnection> attention = new ConcurrentLinkedQueue<>();
     /** The connections that have sent something and wait for their turn. */
@@ -64,6 +65,7 @@
         this.descriptors = descriptors;
         this.queryMemory = new MemoryPool(memoryLimit.availableBytes(), ClientShares::mayQueue);
         this.answerMemory = new MemoryPool(memoryLimit.availableBytes(), ClientShares::mayKeepAnswer);
+        this.resourceUse = new ResourceUse(dispatcher.monitor());
         this.connectionTable = new ConnectionTable(serverConnections, descriptors, maxDescriptors);
     }
 
@@ -223,6 +225,9 @@
 
     private void sweep(long nowNanoTime) {
         connectionTable.closeExcess(!cellMemoryLimits.isEmpty());
+        resourceUse.record(SharedResource.QUERY_MEMORY, queryMemory.freeBytes(), queryMemory.poolBytes());
+        resourceUse.record(SharedResource.ANSWER_MEMORY, answerMemory.freeBytes(), answerMemory.poolBytes());
+        resourceUse.record(SharedResource.THREADS, threadLimit.freeThreads(), threadLimit.maxThreads());
         for (ClientConnection client : connectionTable.all()) {
             if (client.sweep(nowNanoTime)) {
                 updateInterest(client);
--- a/src/test/java/beaconladder/server/CounterNamesTest.java
+++ b/src/test/java/beaconladder/server/CounterNamesTest.java
@@ -36,6 +36,12 @@
                 .isEqualTo("no_thread no_time draining duplicate_id not_admitted queue_full");
     }
 
+    @Test
+    void resourcesThatClientsShare() {
+        assertThat(kinds(SharedResource.values())).isEqualTo("query_memory answer_memory threads");
+        assertThat(kinds(ReaderDelay.values())).isEqualTo("long_pass");
+    }
+
     @Test
     void faultsOfTheLocalNetwork() {
         assertThat(kinds(LocalNetworkFault.values())).isEqualTo("accept connect");
