Stop attempts of a client that has left before the policy's lock is had

A close is noticed by the reader, which hands the rest to a task; under load that task may start late or wait long for the dispatcher's lock. The check right before a send now sees at once that the client has left.

With it the memory of a client moves out of PipelineQueue into a class of its own. Held: the queue's, the ids' and the routing tests (25), and ClientCrowdIT, DisconnectedClientsIT and PipelineIT (15).

--- a/src/main/java/beaconladder/routing/DispatchGuard.java
+++ b/src/main/java/beaconladder/routing/DispatchGuard.java
@@ -14,7 +14,7 @@
     DispatchCheck check(Attempt attempt, long now) {
         Request request = attempt.request;
         Host host = attempt.host;
-        if (request.ended) {
+        if (request.ended || request.clientDisconnected) {
             return DispatchCheck.REQUEST_ENDED;
         }
         if (now >= request.expiryNanos) {
--- a/src/main/java/beaconladder/routing/state/Request.java
+++ b/src/main/java/beaconladder/routing/state/Request.java
@@ -55,6 +55,8 @@
 
     /** Whether it has its final answer, or its client has disconnected. */
     public boolean ended;
+    /** Whether its client has disconnected: set at once, before the policy is told of it. */
+    public volatile boolean clientDisconnected;
     /** When its client was found to have disconnected; Long.MAX_VALUE while it is connected. */
     public long disconnectedNanos = Long.MAX_VALUE;
     /** When it is to be routed again; Long.MAX_VALUE when only by an event. */
--- a/src/main/java/beaconladder/server/PipelineQueue.java
+++ b/src/main/java/beaconladder/server/PipelineQueue.java
@@ -20,8 +20,6 @@
     private static final int MAX_ACTIVE_ENTRIES = 64;
     /** The memory of an active query: its parsed statement and its request. */
     private static final int ACTIVE_BYTES = 1_024;
-    /** Answers up to this size are not counted. */
-    private static final int SMALL_ANSWER_BYTES = 2_048;
 
     /** What the caller of {@link #add} has to do. */
     enum AddResult {
@@ -32,8 +30,7 @@
         REJECTED
     }
 
-    private final MemoryPool queryMemory;
-    private final MemoryPool answerMemory;
+    private final ClientMemory memory;
     /** Returns the router's own answer to a query that no host has to run, or null. */
     private final Function<PipelineEntry, MessageWriter> localAnswers;
 
@@ -46,10 +43,6 @@
             new PriorityQueue<>(Comparator.comparingLong(entry -> entry.sequenceNumber));
 
     private long nextSequenceNumber;
-    /** The memory reserved for all entries, and for the large ones of the answers that are not written. */
-    private long queryBytes;
-
-    private long answerBytes;
     private int taskCount;
     /** The tasks that were reserved and have not taken an entry yet. */
     private int startingTasks;
@@ -64,8 +57,7 @@
 
     PipelineQueue(
             MemoryPool queryMemory, MemoryPool answerMemory, Function<PipelineEntry, MessageWriter> localAnswers) {
-        this.queryMemory = queryMemory;
-        this.answerMemory = answerMemory;
+        this.memory = new ClientMemory(queryMemory, answerMemory);
         this.localAnswers = localAnswers;
     }
 
@@ -77,7 +69,7 @@
         if (closed) {
             return AddResult.QUEUED;
         }
-        if (reserveQueryMemory(entry, entry.queuedBytes()) || entry.closesConnection) {
+        if (memory.reserveQuery(entry, entry.queuedBytes()) || entry.closesConnection) {
             backlog.add(entry);
         } else {
             addRejection();
@@ -91,15 +83,6 @@
         return isWriteDue() ? AddResult.WRITE_NOW : AddResult.QUEUED;
     }
 
-    private boolean reserveQueryMemory(PipelineEntry entry, int bytes) {
-        if (!queryMemory.tryReserve(queryBytes, bytes)) {
-            return false;
-        }
-        entry.queryBytes += bytes;
-        queryBytes += bytes;
-        return true;
-    }
-
     private void addRejection() {
         PipelineEntry last = backlog.peekLast();
         if (last != null && last.rejections > 0) {
@@ -115,7 +98,7 @@
             PipelineEntry next = backlog.peek();
             if (next.rejections > 0) {
                 entries.add(takeRejection(next));
-            } else if (next.answer != null || entries.isEmpty() || reserveQueryMemory(next, ACTIVE_BYTES)) {
+            } else if (next.answer != null || entries.isEmpty() || memory.reserveQuery(next, ACTIVE_BYTES)) {
                 activate(backlog.poll());
             } else {
                 return;
@@ -159,11 +142,7 @@
 
     /** Whether the first of the entries that can be started may be: always if its answer is due next. */
     private boolean mayStart() {
-        return !closed
-                && !runnable.isEmpty()
-                && (runnable.peek() == entries.peek()
-                        || ClientShares.mayStartRequest(
-                                answerBytes, answerMemory.freeBytes(), answerMemory.poolBytes()));
+        return !closed && !runnable.isEmpty() && (runnable.peek() == entries.peek() || memory.mayStartRequest());
     }
 
     /**
@@ -202,9 +181,7 @@
         }
         completed.answer = reply.messages();
         completed.closesConnection = reply.closesConnection();
-        if (completed.answer.size() > SMALL_ANSWER_BYTES) {
-            keepLargeAnswer(completed);
-        }
+        memory.keepAnswer(completed, entries.peek() != completed || writeBlocked);
         for (PipelineEntry each : entries) {
             if (each.conflictsBefore > 0
                     && each.sequenceNumber > completed.sequenceNumber
@@ -219,21 +196,6 @@
         return true;
     }
 
-    private void keepLargeAnswer(PipelineEntry completed) {
-        if (entries.peek() != completed || writeBlocked) {
-            completed.answer.trimToSize();
-        }
-        int size = completed.answer.size();
-        if (answerMemory.tryReserve(answerBytes, size)) {
-            completed.answerBytes = size;
-            answerBytes += size;
-        } else {
-            completed.answer = ErrorResponse.error(
-                    ErrorResponse.STATEMENT_COMPLETION_UNKNOWN,
-                    "it has run, and there is no memory for its answer, as earlier answers are not read");
-        }
-    }
-
     /** Returns the first entry if it has its answer and no thread is writing, else null; the caller has to write it. */
     synchronized PipelineEntry beginWrite() {
         if (!isWriteDue()) {
@@ -254,7 +216,7 @@
         writeBlocked = false;
         PipelineEntry first = entries.poll();
         if (first != null) {
-            release(first);
+            memory.release(first);
         }
         activate();
     }
@@ -276,13 +238,6 @@
         return writeBlocked && !closed && nowNanoTime - lastProgressNanoTime > timeoutNanos;
     }
 
-    private void release(PipelineEntry entry) {
-        queryMemory.release(entry.queryBytes);
-        queryBytes -= entry.queryBytes;
-        answerMemory.release(entry.answerBytes);
-        answerBytes -= entry.answerBytes;
-    }
-
     /** The first entry without an answer, or null. */
     synchronized PipelineEntry firstUnanswered() {
         return entries.stream().filter(each -> each.answer == null).findFirst().orElse(null);
@@ -318,8 +273,8 @@
     synchronized List<PipelineEntry> close() {
         closed = true;
         List<PipelineEntry> removed = List.copyOf(entries);
-        entries.forEach(this::release);
-        backlog.forEach(this::release);
+        entries.forEach(memory::release);
+        backlog.forEach(memory::release);
         entries.clear();
         backlog.clear();
         runnable.clear();
--- a/src/main/java/beaconladder/server/RequestTask.java
+++ b/src/main/java/beaconladder/server/RequestTask.java
@@ -181,7 +181,14 @@
     void onDisconnected() {
         List<PipelineEntry> entries = queue.close();
         admission.releaseConnection();
-        boolean hasRequests = entries.stream().anyMatch(entry -> entry.inFlight() != null);
+        boolean hasRequests = false;
+        for (PipelineEntry entry : entries) {
+            InFlightRequest request = entry.inFlight();
+            if (request != null) {
+                request.request.clientDisconnected = true;
+                hasRequests = true;
+            }
+        }
         // The reader calls this, and must not wait for the dispatcher's lock.
         if (hasRequests && !clientServer.execute(() -> abandon(entries), 0)) {
             abandon(entries);
--- a/src/main/java/beaconladder/testbed/soak/ClientFaultInjector.java
+++ b/src/main/java/beaconladder/testbed/soak/ClientFaultInjector.java
@@ -62,7 +62,7 @@
 
     private void floodOneConnection(SoakRouter router, int kind, AtomicBoolean over) {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), router.port)) {
-            Thread drain = StandInThreads.spawn(() -> dropAnswers(socket));
+            StandInThreads.spawn(() -> dropAnswers(socket));
             MessageWriter.startup("app", "shop").writeTo(socket.getOutputStream());
             while (!over.get()) {
                 MessageWriter queries = new MessageWriter();
@@ -71,8 +71,6 @@
                 }
                 queries.writeTo(socket.getOutputStream());
             }
-            socket.close();
-            StandInThreads.join(drain, TASK_TIMEOUT_MILLIS);
         } catch (IOException e) {
             // The router ends, or ends the connection.
         }
