--- a/src/main/java/beaconladder/pg/Statement.java
+++ b/src/main/java/beaconladder/pg/Statement.java
@@ -16,6 +16,8 @@
             + ") /\\*(?<comment>[^*\\p{Cntrl}]*+)\\*/\\s*+");
 
     private static final int MAX_VALUE_BYTES = 64 * 1024;
+    /** Each parameter takes many times its text in memory; the protocol names eight. */
+    private static final int MAX_PARAMETERS = 64;
 
     private final String text;
     private boolean isWrite;
@@ -61,6 +63,10 @@
                 parseError = "the comment holds '" + pair.strip() + "' where a name and its value belong";
                 return;
             }
+            if (parameters.size() == MAX_PARAMETERS) {
+                parseError = "the comment holds more than " + MAX_PARAMETERS + " names";
+                return;
+            }
             String name = pair.substring(0, equals).strip();
             if (parameters.put(name, pair.substring(equals + 1).strip()) != null) {
                 parseError = "the comment holds " + name + " twice";
--- a/src/test/java/beaconladder/server/ParsersAndResourcesTest.java
+++ b/src/test/java/beaconladder/server/ParsersAndResourcesTest.java
@@ -214,6 +214,19 @@
                 """);
     }
 
+    /** Guards against queries whose parsed form takes many times the memory of their text. */
+    @Test
+    void aCommentWithVeryManyNamesIsInvalid() {
+        StringBuilder names = new StringBuilder("id=1,c=x,d=9");
+        for (int i = 0; i < 61; i++) {
+            names.append(",k").append(i).append("=v");
+        }
+        String read = "SELECT doc FROM items WHERE id = 'k' /* %s */";
+        assertThat(Statement.parse(read.formatted(names)).parseError()).isNull();
+        assertThat(Statement.parse(read.formatted(names + ",one=more")).parseError())
+                .isEqualTo("the comment holds more than 64 names");
+    }
+
     /** Hosts are continually replaced under new ids; the dispatcher must hold no state for those that are gone. */
     @Test
     void hostsThatAreGoneAreRemoved() throws Exception {
