--- a/src/main/java/beaconladder/pg/MessageReader.java
+++ b/src/main/java/beaconladder/pg/MessageReader.java
@@ -89,6 +89,7 @@
      * stream.
      */
     public int readFrom(ReadableByteChannel channel) throws IOException {
+        mayHaveMore = false;
         if (!makeSpace()) {
             return 0;
         }
--- a/src/main/java/beaconladder/server/RequestTask.java
+++ b/src/main/java/beaconladder/server/RequestTask.java
@@ -160,7 +160,7 @@
             current.cancel();
             InFlightRequest request = current.inFlight();
             if (request != null) {
-                dispatcher.abandon(request);
+                runApartFromReader(() -> dispatcher.abandon(request));
             }
         }
     }
@@ -180,7 +180,6 @@
      */
     void onDisconnected() {
         List<PipelineEntry> entries = queue.close();
-        admission.releaseConnection();
         boolean hasRequests = false;
         for (PipelineEntry entry : entries) {
             InFlightRequest request = entry.inFlight();
@@ -189,9 +188,18 @@
                 hasRequests = true;
             }
         }
-        // The reader calls this, and must not wait for the dispatcher's lock.
-        if (hasRequests && !clientServer.execute(() -> abandon(entries), 0)) {
-            abandon(entries);
+        if (hasRequests || admission.connectionPermit() != null) {
+            runApartFromReader(() -> {
+                abandon(entries);
+                admission.releaseConnection();
+            });
+        }
+    }
+
+    /** Runs what takes the dispatcher's lock, for which the reader must not wait, on another thread if there is one. */
+    private void runApartFromReader(Runnable action) {
+        if (!clientServer.execute(action, 0)) {
+            action.run();
         }
     }
 
--- a/src/test/java/beaconladder/app/FlagValuesTest.java
+++ b/src/test/java/beaconladder/app/FlagValuesTest.java
@@ -24,7 +24,7 @@
                 + " connect_fails threads_fail short_io held_up discovery_silent discovery_breaks"
                 + " discovery_slow host_drains host_crashes host_hangs host_silent host_fails"
                 + " host_spoils host_network host_idle_close hosts_slow replicas_lag primary_moves"
-                + " bad_clients idle_crowd",
+                + " bad_clients idle_crowd client_flood client_crowd clients_leave signal_series",
         "scale, list members leases clients keeper module positions"
     })
     void eachCommandListsItsValues(String command, String values) {
