--- a/src/main/java/beaconladder/server/package-info.java
+++ b/src/main/java/beaconladder/server/package-info.java
@@ -2,10 +2,12 @@
  * The router's network side: accepts clients, passes their queries to the routing policy, and exchanges them with
  * hosts.
  *
- * <p>Path of a query: {@code ClientServer} reads it on the selector's thread, {@code RequestTask} parses it on a thread
- * of its own and submits it to {@code RequestDispatcher}, which returns commands for the task; {@code HostExchange}
- * carries an attempt out on a connection of {@code ServerConnectionPool} and reports its outcome to
- * {@code AttemptEvents}.
+ * <p>Path of a query: {@code ClientServer} reads it on the selector's thread, which gives each client turns and adds
+ * the query to the client's {@code PipelineQueue}; what no host has to run is answered there. {@code RequestTask}
+ * submits a request on a thread of its own to {@code RequestDispatcher}, which returns commands for the task;
+ * {@code HostExchange} carries an attempt out on a connection of {@code ServerConnectionPool} and reports its outcome
+ * to {@code AttemptEvents}. Answers are written without waiting; the selector's thread writes what a client could not
+ * receive at once.
  *
  * <p>Ownership of state, and the lock that guards it:
  *
@@ -21,7 +23,10 @@
  *       is read and written by the exchange's thread only, while any thread may close it to cancel.
  *   <li>The monitor of the map in {@code IdleConnections} guards the idle connections; they are closed outside of it.
  *   <li>{@code RouterServer}'s monitor orders the start of listening, a reload and the start of a drain.
- *   <li>The selector's thread owns the connection table and registers, reads and removes clients.
+ *   <li>Each {@code PipelineQueue}'s monitor guards the client's entries and its {@code ClientMemory}. No other lock is
+ *       taken under it but an entry's own.
+ *   <li>The selector's thread takes none of the locks that are held while decisions are made. It owns the connection
+ *       table and registers, reads and removes clients.
  *   <li>{@code DescriptorLimit} and {@code ThreadLimit} count descriptors and threads for all of them.
  * </ul>
  *
