--- a/src/main/java/beaconladder/server/package-info.java
+++ b/src/main/java/beaconladder/server/package-info.java
@@ -25,8 +25,9 @@
  *   <li>{@code RouterServer}'s monitor orders the start of listening, a reload and the start of a drain.
  *   <li>Each {@code PipelineQueue}'s monitor guards the client's entries and its {@code ClientMemory}. No other lock is
  *       taken under it but an entry's own.
- *   <li>The selector's thread takes none of the locks that are held while decisions are made. It owns the connection
- *       table and registers, reads and removes clients.
+ *   <li>The selector's thread owns the connection table and registers, reads and removes clients. It takes the
+ *       dispatcher's lock only where cells are configured, to see whose connections exceed their quota, and where no
+ *       other thread is free for what follows a close.
  *   <li>{@code DescriptorLimit} and {@code ThreadLimit} count descriptors and threads for all of them.
  * </ul>
  *
