--- a/src/main/java/beaconladder/server/ClientServer.java
+++ b/src/main/java/beaconladder/server/ClientServer.java
@@ -177,13 +177,18 @@
         for (ClientConnection client : clients) {
             if (connectionTable.all().contains(client) && client.onReadable(turnNanos)) {
                 updateInterest(client);
-                if (client.hasMessagesLeft()) {
-                    readable.add(client);
-                }
+                giveAnotherTurnIfNeeded(client);
             }
         }
     }
 
+    /** Messages that were read and not handled are not reported by the selector again. */
+    private void giveAnotherTurnIfNeeded(ClientConnection client) {
+        if (client.hasMessagesLeft()) {
+            readable.add(client);
+        }
+    }
+
     private void recordPass(long passNanos) {
         if (passNanos > LONG_PASS_NANOS) {
             dispatcher.monitor().counters().add("reader", ReaderDelay.LONG_PASS);
@@ -235,6 +240,8 @@
                 if (shutdown != null) {
                     client.closeIfIdle(Long.MAX_VALUE);
                 }
+                // Also those that were read to see whether they are idle, here or while a descriptor was freed.
+                giveAnotherTurnIfNeeded(client);
             }
         }
     }
