--- a/src/main/java/beaconladder/server/ClientConnection.java
+++ b/src/main/java/beaconladder/server/ClientConnection.java
@@ -271,14 +271,15 @@
         if (finalReadDone && closingSinceNanoTime == 0 && queue.hasUnwritten() && !onReadable()) {
             return false;
         }
+        // What has arrived counts as in time: it may be the reader that is late.
+        boolean overdue = isStartupOverdue(nowNanoTime) || isMessageOverdue(nowNanoTime);
+        if (overdue && !onReadable()) {
+            return false;
+        }
         try {
-            if (closingSinceNanoTime == 0
-                    && !reader.isStarted()
-                    && nowNanoTime - activity.lastUsedNanoTime() > MESSAGE_TIMEOUT_NANOS) {
+            if (isStartupOverdue(nowNanoTime)) {
                 reader.respond(StartupResponse.fatal(ErrorResponse.PROTOCOL_VIOLATION, "no startup message in time"));
-            } else if (closingSinceNanoTime == 0
-                    && in.messageStartNanos() != 0
-                    && nowNanoTime - in.messageStartNanos() > MESSAGE_TIMEOUT_NANOS) {
+            } else if (isMessageOverdue(nowNanoTime)) {
                 reader.closeWithError("a message whose rest did not come in time");
             }
         } catch (IOException e) {
@@ -287,6 +288,18 @@
         return channel.isOpen();
     }
 
+    private boolean isStartupOverdue(long nowNanoTime) {
+        return !activity.isClosing()
+                && !reader.isStarted()
+                && nowNanoTime - activity.lastUsedNanoTime() > MESSAGE_TIMEOUT_NANOS;
+    }
+
+    private boolean isMessageOverdue(long nowNanoTime) {
+        return !activity.isClosing()
+                && in.messageStartNanos() != 0
+                && nowNanoTime - in.messageStartNanos() > MESSAGE_TIMEOUT_NANOS;
+    }
+
     /**
      * Closes the connection if it has been idle since before this {@code System.nanoTime}, after reading what has
      * arrived. Returns whether it has been closed.
--- a/src/test/java/beaconladder/server/ClientConnectionTest.java
+++ b/src/test/java/beaconladder/server/ClientConnectionTest.java
@@ -77,6 +77,15 @@
         assertThat(channel.writtenTypes()).isEqualTo("IZIZ");
     }
 
+    /** Guards against a client that is rejected as late because the reader was: its startup message had arrived. */
+    @Test
+    void aStartupMessageThatHasArrivedIsInTimeHoweverLateTheReaderIs() throws Exception {
+        LateQueryChannel channel = new LateQueryChannel(2);
+        ClientConnection client = new ClientConnection(newClientServer(), dispatcher, serverConnections, channel);
+        assertThat(client.sweep(System.nanoTime() + 3_000_000_000L)).isTrue();
+        assertThat(channel.writtenTypes()).isEqualTo("RSSSSKZ");
+    }
+
     /** A client whose query arrives right before the read with this number, or before the close. */
     private static final class LateQueryChannel implements ClientChannel {
         private final int queryAtRead;
