Retry the start of threads that a router can't do without

Threads of clients' tasks are rejected in such a moment, those of the router itself were started once.

--- a/src/main/java/beaconladder/app/Hangups.java
+++ b/src/main/java/beaconladder/app/Hangups.java
@@ -1,5 +1,6 @@
 package beaconladder.app;
 
+import beaconladder.server.RequiredThread;
 import java.lang.reflect.Proxy;
 import java.util.concurrent.Semaphore;
 
@@ -30,17 +31,19 @@
     }
 
     /** Runs this from now on, also for a signal that has come already. */
-    void run(Runnable reload) {
-        Thread reloads = new Thread(
-                () -> {
-                    while (true) {
-                        permits.acquireUninterruptibly();
-                        permits.drainPermits();
-                        reload.run();
-                    }
-                },
-                "reloads");
-        reloads.setDaemon(true);
-        reloads.start();
+    void run(Runnable reload) throws InterruptedException {
+        RequiredThread.start(() -> {
+            Thread reloads = new Thread(() -> runAtEachSignal(reload), "reloads");
+            reloads.setDaemon(true);
+            return reloads;
+        });
+    }
+
+    private void runAtEachSignal(Runnable reload) {
+        while (true) {
+            permits.acquireUninterruptibly();
+            permits.drainPermits();
+            reload.run();
+        }
     }
 }
--- a/src/main/java/beaconladder/server/RouterServer.java
+++ b/src/main/java/beaconladder/server/RouterServer.java
@@ -138,11 +138,11 @@
 
     /** Warms up, waits for the first endpoint list, and starts listening unless a shutdown was requested meanwhile. */
     public void start() throws IOException, InterruptedException {
-        threads.newThread(dispatcher.timer()).start();
-        threads.newThread(endpointWatch).start();
-        threads.newThread(this::sweep).start();
+        startRequired(dispatcher.timer());
+        startRequired(endpointWatch);
+        startRequired(this::sweep);
         if (placementWatcher != null) {
-            threads.newThread(placementWatcher).start();
+            startRequired(placementWatcher);
         }
         WarmUp.run(configuration, threads);
         // The hosts in the configuration may be out of date, and the agent's endpoint list is binding as soon as the
@@ -153,7 +153,7 @@
         synchronized (this) {
             if (!shutdownRequested) {
                 clients.listen(configuration.listen());
-                threads.newThread(clients).start();
+                startRequired(clients);
                 listening = true;
                 dispatcher.monitor().invariants().checkStartupTime(System.nanoTime() - createdNanoTime);
                 LOG.info("{} serves at {}", configuration.name(), configuration.listen());
@@ -161,6 +161,10 @@
         }
     }
 
+    private void startRequired(Runnable task) throws InterruptedException {
+        RequiredThread.start(() -> threads.newThread(task));
+    }
+
     /**
      * Validates the files as a start would.
      *
--- a/src/main/java/beaconladder/server/WarmUp.java
+++ b/src/main/java/beaconladder/server/WarmUp.java
@@ -72,8 +72,7 @@
         if (requestClasses.isEmpty()) {
             return;
         }
-        Thread timer = threads.newThread(dispatcher.timer());
-        timer.start();
+        Thread timer = RequiredThread.start(() -> threads.newThread(dispatcher.timer()));
         AtomicInteger remainingRequests = new AtomicInteger(REQUEST_COUNT);
         CountDownLatch finished = new CountDownLatch(CLIENTS);
         for (int i = 0; i < CLIENTS; i++) {
