Review: two cases of new work to draining hosts after an outage of discovery

A router that starts while its agent is silent, and a router whose discovery was away for over half a minute, learn of a drain too late.

--- a/review/stand-ins-2/beaconladder/testbed/LongOutageCase.java
+++ b/review/stand-ins-2/beaconladder/testbed/LongOutageCase.java
@@ -2,7 +2,7 @@
 
 /** Discovery, which is asked, is away for 40 s, twice; each time a host drains when it is back. */
 public final class LongOutageCase extends DrainCase {
-    private static final int ROUTERS = 8;
+    private static final int ROUTERS = 12;
     private static final int OUTAGE_MILLIS = 40_000;
     private static final int OUTAGES = 2;
     /** "a change counts as told at the latest 6 s after discovery had it and could be reached". */
