--- a/review/stand-ins-2/beaconladder/testbed/ReviewCase.java
+++ b/review/stand-ins-2/beaconladder/testbed/ReviewCase.java
@@ -74,7 +74,11 @@
 
     /** Writes a line with its time to the record and to standard output. */
     synchronized void say(String line) {
-        String timed = String.format("%8.3f  %s", (System.currentTimeMillis() - startMillis) / 1e3, line);
+        String timed = String.format(
+                "%8.3f  %s",
+                (System.currentTimeMillis() - startMillis) / 1e3,
+                // The temporary folder is another one in each run.
+                folder == null ? line : line.replace(folder.toString(), "FOLDER"));
         System.out.println(timed);
         record.println(timed);
     }
