Read a connection on while a query of its has no answer, to notice its end

Cause: after such a message what arrives is dropped, and after 64 KB of it the selector was no longer asked about the connection. The end of a connection is behind its last byte, so nothing noticed it before the answer. Trace: nothing at the close, `send gone-2 at=933`, then `close cause=TOLD_TO_GO` half a second after the answer.

Change: a connection is read while a query of its has no answer, whatever its state, and not behind the last answer of a drain. Dropped bytes go to one buffer of the reader, within the client's turn. The 64 KB count from the last answer on. A client that leaves so counts as closed by itself, not as a broken rule.

The other side: aClientThatStaysBehind... gets its answer, the error and the close; aClientThatSendsWithoutEnd... is closed after its answer, with 64 MB and others served meanwhile. The check of this class finds late repeats of an id, too. PipelineQueue.hasUnwritten had no use left; its checks in PipelineQueueTest are on unansweredQueries, with the exact number.

--- a/src/main/java/beaconladder/pg/MessageReader.java
+++ b/src/main/java/beaconladder/pg/MessageReader.java
@@ -120,13 +120,6 @@
         return messageStartNanos;
     }
 
-    /** Discards all bytes received. */
-    public void discard() {
-        messageStart = bytesEnd;
-        messageEnd = bytesEnd;
-        messageStartNanos = 0;
-    }
-
     /** Moves to the message behind the current one, if it has been received completely. */
     private ReadStatus parse(int typeBytes, int maxBytes) {
         messageStart = messageEnd;
@@ -217,11 +210,14 @@
      * closed.
      */
     public void release() {
-        memory.release(buffer.length - INITIAL_BYTES);
-        buffer = new byte[INITIAL_BYTES];
+        if (buffer.length > INITIAL_BYTES) {
+            memory.release(buffer.length - INITIAL_BYTES);
+            buffer = new byte[INITIAL_BYTES];
+        }
         messageStart = 0;
         bytesEnd = 0;
         messageEnd = 0;
+        messageStartNanos = 0;
     }
 
     /** Counts large messages against this limit; ignored while a large message is in the buffer. */
--- a/src/main/java/beaconladder/server/ClientConnection.java
+++ b/src/main/java/beaconladder/server/ClientConnection.java
@@ -17,7 +17,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
     /** The time for the startup message after the accept, and for a complete message after its first byte. */
     private static final long MESSAGE_TIMEOUT_NANOS = 2_000_000_000L;
-    /** How much is still read and discarded after the final error, so that the client receives the error. */
+    /** How much is still read and discarded after the last answer, so that the client receives the final error. */
     private static final int MAX_DISCARDED_BYTES = 64 * 1024;
     /** A client is disconnected when none of an answer could be written to it for this long. */
     private static final long WRITE_TIMEOUT_NANOS = 5_000_000_000L;
@@ -37,6 +37,7 @@
     private final ClientReader reader;
     private final long cancelKey;
     private final AtomicBoolean attentionRequested = new AtomicBoolean();
+    /** The bytes that were discarded while no request was waiting any more. */
     private int discardedBytes;
     /** Whether messages that have arrived completely are left to the next turn. */
     private boolean messagesLeft;
@@ -149,16 +150,15 @@
             messagesLeft = !reader.handleMessages(endNanoTime);
             return !messagesLeft;
         }
-        int bytesRead = in.readFrom(channel);
-        readNanos = dispatcher.nowNanos();
-        if (activity.isClosing()) {
-            in.discard();
-            discardedBytes += Math.max(0, bytesRead);
-            if (bytesRead < 0) {
-                close(CloseCause.TOLD_TO_GO);
-            }
+        // The selector may have reported bytes that came behind the last answer.
+        if (!wantsRead()) {
             return false;
         }
+        if (activity.isClosing()) {
+            return discardOnce();
+        }
+        int bytesRead = in.readFrom(channel);
+        readNanos = dispatcher.nowNanos();
         if (bytesRead >= 0) {
             messagesLeft = !reader.handleMessages(endNanoTime);
             return in.mayHaveMore();
@@ -172,6 +172,18 @@
         return false;
     }
 
+    /** Discards what has been read, and reads and discards once more; returns whether more may have arrived. */
+    private boolean discardOnce() throws IOException {
+        in.release();
+        int bytesRead = clientServer.discardFrom(channel);
+        if (bytesRead < 0) {
+            close(queue.unansweredQueries() > 0 ? CloseCause.CLIENT_CLOSED : CloseCause.TOLD_TO_GO);
+            return false;
+        }
+        discardedBytes += queue.hasUnansweredQuery() ? 0 : bytesRead;
+        return bytesRead > 0;
+    }
+
     /** Whether the rest of what has arrived waits for the next turn. */
     boolean hasMessagesLeft() {
         return messagesLeft;
@@ -187,12 +199,17 @@
     }
 
     /**
-     * Whether the selector should report readable bytes: not for a client that keeps sending after the final error, nor
-     * after the final read, when only the sweep reads.
+     * Whether the connection is to be read: always while a host may still have to run a query, as the end of the
+     * connection has to be noticed behind all that arrives before it. Otherwise not for a client that keeps sending
+     * after the final error, nor after the final read.
      */
     boolean wantsRead() {
-        return discardedBytes < MAX_DISCARDED_BYTES
-                && !(finalReadDone && !activity.isClosing() && in.messageStartNanos() == 0);
+        if (queue.hasUnansweredQuery()) {
+            return true;
+        }
+        return activity.isClosing()
+                ? discardedBytes < MAX_DISCARDED_BYTES
+                : !finalReadDone || in.messageStartNanos() != 0;
     }
 
     /** Whether the selector should report when the client can receive more. */
@@ -268,9 +285,6 @@
             close(CloseCause.CLIENT_BROKEN);
             return false;
         }
-        if (finalReadDone && closingSinceNanoTime == 0 && queue.hasUnwritten() && !onReadable()) {
-            return false;
-        }
         // What has arrived counts as in time: it may be the reader that is late.
         boolean overdue = isStartupOverdue(nowNanoTime) || isMessageOverdue(nowNanoTime);
         if (overdue && !onReadable()) {
@@ -332,8 +346,8 @@
     /**
      * Reads the connection for the last time during a shutdown, and closes it now or after the answers to what has
      * arrived by then. Without this limit a client that keeps sending would keep it open until the process is killed.
-     * While answers are due, the sweep still reads to notice a close by the client, and queries that it finds are
-     * rejected. What arrives after the last answer stays unread.
+     * While a host may still have to run a query, the connection is read to notice a close by the client, and queries
+     * that are found are rejected. What arrives after the last answer stays unread.
      */
     void readForLastTime() {
         if (!activity.isClosing() && onReadable()) {
--- a/src/main/java/beaconladder/server/ClientServer.java
+++ b/src/main/java/beaconladder/server/ClientServer.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
@@ -22,6 +23,8 @@
     private static final int SWEEP_INTERVAL_MILLIS = 50;
     /** Clients wait for the end of the reader's pass; from this length on it is counted and logged. */
     private static final long LONG_PASS_NANOS = 100_000_000L;
+    /** Bound of one read of bytes that are discarded; as much as the JDK keeps a buffer for outside of the heap. */
+    private static final int MAX_DISCARD_BYTES = 16 * 1024;
 
     private final RequestDispatcher dispatcher;
     private final ServerConnectionPool serverConnections;
@@ -41,6 +44,8 @@
     private final Queue<ClientConnection> attention = new ConcurrentLinkedQueue<>();
     /** The connections that have sent something and wait for their turn. */
     private final Set<ClientConnection> readable = new LinkedHashSet<>();
+    /** Receives the bytes that are discarded. */
+    private final ByteBuffer discarded = ByteBuffer.allocate(MAX_DISCARD_BYTES);
 
     private Selector selector;
     private ClientAcceptor acceptor;
@@ -265,6 +270,15 @@
         return connectionTable.all().size();
     }
 
+    /**
+     * Reads once from a client and discards what it reads; returns its length, or -1 at the end of the stream. Must be
+     * called by the reader's thread.
+     */
+    int discardFrom(ClientChannel channel) throws IOException {
+        discarded.clear();
+        return channel.read(discarded);
+    }
+
     /** The memory of the queries that wait. */
     MemoryPool queryMemory() {
         return queryMemory;
--- a/src/main/java/beaconladder/server/PipelineEntry.java
+++ b/src/main/java/beaconladder/server/PipelineEntry.java
@@ -83,6 +83,11 @@
         return query != null || answersRejection;
     }
 
+    /** Whether it is a query that the router has not answered itself, and for which no host's answer has come. */
+    boolean isUnansweredQuery() {
+        return query != null && answer == null;
+    }
+
     /** When its time budget began to run: at its last byte, or at the answer to the conflicting query before it. */
     long startNanos() {
         return startNanos;
--- a/src/main/java/beaconladder/server/PipelineQueue.java
+++ b/src/main/java/beaconladder/server/PipelineQueue.java
@@ -259,9 +259,10 @@
         return entry == entries.peek() && (writing || entry.isWriteBegun());
     }
 
-    /** Returns whether there is an entry for which the writing of the answer has not begun. */
-    synchronized boolean hasUnwritten() {
-        return !backlog.isEmpty() || entries.stream().anyMatch(entry -> !isBeingWritten(entry));
+    /** Returns whether there is a query without an answer, which a host may still have to run. */
+    synchronized boolean hasUnansweredQuery() {
+        return entries.stream().anyMatch(PipelineEntry::isUnansweredQuery)
+                || backlog.stream().anyMatch(PipelineEntry::isUnansweredQuery);
     }
 
     /**
--- a/src/main/java/beaconladder/testbed/HostStandIn.java
+++ b/src/main/java/beaconladder/testbed/HostStandIn.java
@@ -177,6 +177,16 @@
         return false;
     }
 
+    /** Returns whether a statement with this text arrived at or after this Unix time in milliseconds. */
+    public boolean sawAfter(String text, long afterMillis) {
+        for (int i = 0; i < queries.size(); i++) {
+            if (queries.get(i).contains(text) && arrivalsMillis.get(i) >= afterMillis) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Stops sending for good, on open connections and on new ones, without closing any. */
     public void vanish() {
         vanished = true;
--- a/src/test/java/beaconladder/server/DisconnectedClientsIT.java
+++ b/src/test/java/beaconladder/server/DisconnectedClientsIT.java
@@ -5,6 +5,7 @@
 import beaconladder.pg.MessageWriter;
 import beaconladder.testbed.HostStandIn;
 import beaconladder.testbed.HostStandIn.Manner;
+import beaconladder.testbed.StandInThreads;
 import beaconladder.testbed.TestClient;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -13,6 +14,7 @@
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -22,6 +24,7 @@
 @Timeout(60)
 class DisconnectedClientsIT extends RouterProcessFixture {
     private static final long MAX_DELAY_MILLIS = 100;
+    private static final int UNREADABLE_BYTES = 200 * 1024;
 
     /** The close arrives behind queries that the router has not read yet. */
     @Test
@@ -104,6 +107,107 @@
         assertNoneReceivedAfter(System.currentTimeMillis(), "h", 1_500);
     }
 
+    /**
+     * Guards against a close that isn't noticed behind a message that can't be read: its bytes were no longer read once
+     * 64 KB of them had been discarded, and the writes before it ran for clients that had gone.
+     */
+    @Test
+    void nothingIsForwardedAfterACloseBehindAMessageThatCannotBeRead() throws Exception {
+        start();
+        TestClient firstClient = connect();
+        query(firstClient, write("warm", 2000));
+        primary.manner = Manner.MISS;
+        List<TestClient> clients = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            TestClient client = connect();
+            clients.add(client);
+            MessageWriter.query(write("z" + i + "x", 2000)).writeTo(client.out);
+            sendUnreadableMessage(client);
+        }
+        await(() -> !receivedIds("z").isEmpty());
+        TimeUnit.MILLISECONDS.sleep(100);
+        for (TestClient client : clients) {
+            client.close();
+        }
+        long disconnectedMillis = System.currentTimeMillis();
+        TimeUnit.MILLISECONDS.sleep(MAX_DELAY_MILLIS);
+        primary.manner = Manner.ANSWER;
+        assertNoneReceivedAfter(disconnectedMillis, "z", 1_900);
+        await(() -> query(firstClient, write("again", 2000)).contains("C:"));
+    }
+
+    /** The other side: a client that stays gets the answer that it is owed, then the error, then the close. */
+    @Test
+    void aClientThatStaysBehindAMessageThatCannotBeReadGetsItsAnswerFirst() throws Exception {
+        start();
+        TestClient client = connect();
+        query(client, write("warm", 2000));
+        primary.delayMillis = 700;
+        MessageWriter.query(write("stays", 2000)).writeTo(client.out);
+        sendUnreadableMessage(client);
+        append(client.answer(), client.answer());
+        assertThat(transcript.toString()).isEqualTo("T D:00ff27 C:SELECT 1 Z\nE:08P01 closed\n");
+    }
+
+    /**
+     * The other side: a client that sends without end behind a message that can't be read gets its answer and is closed
+     * within the time that is left to it, and the other clients are served meanwhile.
+     */
+    @Test
+    void aClientThatSendsWithoutEndBehindAMessageThatCannotBeReadIsClosedAfterItsAnswer() throws Exception {
+        memoryMb = 64;
+        start();
+        TestClient other = connect();
+        query(other, write("warm", 2000));
+        primary.delayMillis = 1_500;
+        List<Thread> floods = new ArrayList<>();
+        List<String> answers = Collections.synchronizedList(new ArrayList<>());
+        for (int i = 0; i < 4; i++) {
+            TestClient client = connect();
+            MessageWriter.query(write("flood" + i, 2000)).writeTo(client.out);
+            floods.add(StandInThreads.spawn(() -> {
+                sendUnreadableMessage(client);
+                sendUntilClosed(client);
+            }));
+            StandInThreads.spawn(() -> answers.add(client.answer() + " " + client.answer()));
+        }
+        long endMillis = System.currentTimeMillis() + 1_000;
+        while (System.currentTimeMillis() < endMillis) {
+            assertThat(query(other, read("o" + System.nanoTime(), 1_000))).startsWith("T D:");
+        }
+        for (Thread flood : floods) {
+            StandInThreads.join(flood, 3_000);
+        }
+        await(() -> answers.size() == 4);
+        assertThat(answers).containsOnly("T D:00ff27 C:SELECT 1 Z E:08P01 closed");
+        assertThat(query(other, read("after", 1_000))).startsWith("T D:");
+    }
+
+    /**
+     * Guards against a close that isn't noticed behind queries that come after the final read of a drain: they were
+     * read in small parts twenty times a second, and the write that waited before them ran for a client that had gone.
+     */
+    @Test
+    void nothingIsForwardedAfterACloseBehindQueriesThatComeAfterTheFinalReadOfADrain() throws Exception {
+        start();
+        TestClient client = connect();
+        query(client, write("warm", 2000));
+        primary.delayMillis = 700;
+        router.sendSignal("TERM");
+        TimeUnit.MILLISECONDS.sleep(450);
+        // The second waits for the first, as both write the same row.
+        MessageWriter.query(write("d1x", 2000))
+                .append(MessageWriter.query(write("d2x", 1200)))
+                .writeTo(client.out);
+        await(() -> !acceptsClients());
+        // Each read of the router ends with a whole query, as the length of its first buffer is a multiple of theirs.
+        queriesOfLength(256, 1_000).writeTo(client.out);
+        TimeUnit.MILLISECONDS.sleep(100);
+        client.close();
+        assertNoneReceivedAfter(System.currentTimeMillis(), "d", 1_500);
+        assertThat(receivedIds("late")).isEmpty();
+    }
+
     /** The router is draining, and has read the connection for the last time. */
     @Test
     void nothingIsForwardedForAClientThatClosesAfterTheFinalReadOfADrain() throws Exception {
@@ -214,6 +318,33 @@
         return messages;
     }
 
+    private static MessageWriter queriesOfLength(int messageBytes, int queries) {
+        String query = read("late", 2000);
+        String padded = " ".repeat(messageBytes - MessageWriter.query(query).size()) + query;
+        MessageWriter messages = new MessageWriter();
+        for (int i = 0; i < queries; i++) {
+            messages.append(MessageWriter.query(padded));
+        }
+        return messages;
+    }
+
+    /** Sends the beginning of a query of 60 MB. */
+    private static void sendUnreadableMessage(TestClient client) throws IOException {
+        client.out.write(ByteBuffer.allocate(5).put((byte) 'Q').putInt(60 << 20).array());
+        client.out.write(new byte[UNREADABLE_BYTES]);
+    }
+
+    /** Sends at full speed until the router has closed the connection. */
+    private static void sendUntilClosed(TestClient client) {
+        try {
+            while (true) {
+                client.out.write(new byte[UNREADABLE_BYTES]);
+            }
+        } catch (IOException e) {
+            // The router has closed the connection.
+        }
+    }
+
     /** Returns the ids with this prefix that a host received. */
     private List<String> receivedIds(String name) {
         List<String> ids = new ArrayList<>();
@@ -230,11 +361,11 @@
     private void assertNoneReceivedAfter(long disconnectedMillis, String name, long watchMillis)
             throws InterruptedException {
         TimeUnit.MILLISECONDS.sleep(watchMillis);
+        long lastMillis = disconnectedMillis + MAX_DELAY_MILLIS;
         for (String id : receivedIds(name)) {
-            assertThat(primary.sawBefore(id, disconnectedMillis + MAX_DELAY_MILLIS)
-                            || replica.sawBefore(id, disconnectedMillis + MAX_DELAY_MILLIS))
+            assertThat(primary.sawAfter(id, lastMillis) || replica.sawAfter(id, lastMillis))
                     .as(id)
-                    .isTrue();
+                    .isFalse();
         }
     }
 
--- a/src/test/java/beaconladder/server/PipelineQueueTest.java
+++ b/src/test/java/beaconladder/server/PipelineQueueTest.java
@@ -67,16 +67,45 @@
         complete(first);
         assertThat(queue.beginWrite()).isSameAs(first);
         assertThat(queue.beginWrite()).isNull();
-        assertThat(queue.hasUnwritten()).isTrue();
+        assertThat(queue.unansweredQueries()).isEqualTo(1);
         queue.endWrite();
         assertThat(queue.beginWrite()).isSameAs(second);
         queue.endWrite();
         assertThat(queue.beginWrite().query()).isNull();
-        assertThat(queue.hasUnwritten()).isFalse();
+        assertThat(queue.unansweredQueries()).isZero();
+        assertThat(queue.isIdle()).isFalse();
         queue.endWrite();
         assertThat(queue.isIdle()).isTrue();
     }
 
+    /** Guards against a client whose end is no longer looked for while a host may still have to run its query. */
+    @Test
+    void aQueryIsUnansweredUntilItsAnswerIsThereBehindTheActiveEntriesToo() {
+        assertThat(queue.hasUnansweredQuery()).isFalse();
+        List<PipelineEntry> entries = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            entries.add(read("k" + i));
+            queue.add(entries.get(i));
+        }
+        queue.add(new PipelineEntry(new MessageWriter().readyForQuery(), true));
+        for (int i = 0; i < 64; i++) {
+            assertThat(queue.startNext(UNLIMITED)).isSameAs(entries.get(i));
+            complete(entries.get(i));
+        }
+        assertThat(queue.startNext(UNLIMITED)).isNull();
+        assertThat(queue.hasUnansweredQuery()).isTrue();
+        for (int i = 0; i < 100; i++) {
+            PipelineEntry next = queue.startNext(UNLIMITED);
+            if (next != null) {
+                complete(next);
+            }
+            queue.beginWrite();
+            queue.endWrite();
+        }
+        assertThat(queue.hasUnansweredQuery()).isFalse();
+        assertThat(queue.hasEntries()).isTrue();
+    }
+
     @Test
     void anEntryWithoutAThreadWaitsForARunningTaskAndIsRejectedInItsTurnWithoutOne() {
         PipelineEntry first = read("a");
