Ask the pipeline for waiting queries only where a connection closes or drains

The reader asked it before each read of each connection, under the pipeline's lock; the answer matters only behind a final error or a final read.

--- a/src/main/java/beaconladder/server/ClientConnection.java
+++ b/src/main/java/beaconladder/server/ClientConnection.java
@@ -204,12 +204,11 @@
      * after the final error, nor after the final read.
      */
     boolean wantsRead() {
-        if (queue.hasUnansweredQuery()) {
+        if (!activity.isClosing() && !finalReadDone) {
             return true;
         }
-        return activity.isClosing()
-                ? discardedBytes < MAX_DISCARDED_BYTES
-                : !finalReadDone || in.messageStartNanos() != 0;
+        boolean lingers = activity.isClosing() ? discardedBytes < MAX_DISCARDED_BYTES : in.messageStartNanos() != 0;
+        return lingers || queue.hasUnansweredQuery();
     }
 
     /** Whether the selector should report when the client can receive more. */
