Test that the end of a client is noticed behind an unreadable message by reset, too

The test of a close behind a message that can't be read closed by FIN alone; it plays a reset as well now. Tests alone, no code of the router changes.

--- a/src/test/java/beaconladder/server/DisconnectedClientsIT.java
+++ b/src/test/java/beaconladder/server/DisconnectedClientsIT.java
@@ -19,6 +19,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** After a client closes its connection or cancels a query, no attempt for it begins more than 100 ms later. */
 @Timeout(60)
@@ -111,15 +113,20 @@
      * Guards against a close that isn't noticed behind a message that can't be read: its bytes were no longer read once
      * 64 KB of them had been discarded, and the writes before it ran for clients that had gone.
      */
-    @Test
-    void nothingIsForwardedAfterACloseBehindAMessageThatCannotBeRead() throws Exception {
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void nothingIsForwardedAfterACloseBehindAMessageThatCannotBeRead(boolean resets) throws Exception {
         start();
         TestClient firstClient = connect();
         query(firstClient, write("warm", 2000));
         primary.manner = Manner.MISS;
         List<TestClient> clients = new ArrayList<>();
         for (int i = 0; i < 5; i++) {
-            TestClient client = connect();
+            Socket socket = new Socket(InetAddress.getLoopbackAddress(), router.port);
+            if (resets) {
+                socket.setSoLinger(true, 0);
+            }
+            TestClient client = greeted(new TestClient(socket));
             clients.add(client);
             MessageWriter.query(write("z" + i + "x", 2000)).writeTo(client.out);
             sendUnreadableMessage(client);
--- a/src/test/java/beaconladder/server/RouterProcessFixture.java
+++ b/src/test/java/beaconladder/server/RouterProcessFixture.java
@@ -97,7 +97,12 @@
     }
 
     TestClient connect() throws IOException {
-        TestClient client = closeAfterTest(new TestClient(new Socket(InetAddress.getLoopbackAddress(), router.port)));
+        return greeted(new TestClient(new Socket(InetAddress.getLoopbackAddress(), router.port)));
+    }
+
+    /** Completes the startup of a client that has just connected. */
+    TestClient greeted(TestClient client) throws IOException {
+        closeAfterTest(client);
         MessageWriter.startup("app", "shop").writeTo(client.out);
         assertThat(client.answer()).isEqualTo("R S S S S K Z");
         return client;
