Answer each query that was read on a connection beyond its tenant's quota

Cause: Admission answered the first query with an error that closes the connection, and RequestTask.writeAnswers dropped the whole queue behind it. That the end belongs to the connection and not to one query was stated nowhere.

Change: the connection is refused, not the query. PipelineQueue.refuse answers every query that is not started, and each that is read from then on, with 53300 in its turn; none of them runs. Half a second later the connection is closed between two queries, as an idle one is, or, if its client goes on sending, after the answers to all that was read. Nothing counts towards the quota that did not before.

--- a/src/main/java/beaconladder/server/Admission.java
+++ b/src/main/java/beaconladder/server/Admission.java
@@ -12,9 +12,10 @@
      *
      * @param permit the permit of an admitted request, or null where the request is not admitted
      * @param answer the answer to the client, or null where the request is admitted
-     * @param closesConnection whether the client's connection closes after the answer
+     * @param refusesConnection whether the connection exceeds its tenant's quota, so that none of its queries is
+     *     admitted
      */
-    record Result(AdmissionPermit permit, MessageWriter answer, boolean closesConnection) {
+    record Result(AdmissionPermit permit, MessageWriter answer, boolean refusesConnection) {
         static Result admitted(AdmissionPermit permit) {
             return new Result(permit, null, false);
         }
@@ -70,16 +71,17 @@
                     return Result.admitted(decision.permit());
                 }
                 dispatcher.cells().releasePermit(decision.permit());
-                return new Result(
-                        null,
-                        ErrorResponse.fatal(
-                                ErrorResponse.TOO_MANY_CONNECTIONS,
-                                "too many connections of this tenant; it has not run"),
-                        true);
+                return new Result(null, connectionRefused(), true);
             }
         }
     }
 
+    /** The answer to each query of a connection that exceeds its tenant's quota. */
+    static MessageWriter connectionRefused() {
+        return ErrorResponse.error(
+                ErrorResponse.TOO_MANY_CONNECTIONS, "too many connections of this tenant; it has not run");
+    }
+
     /**
      * Counts the connection towards the quota of the tenant that its first request names; returns false where the quota
      * does not allow one more connection.
--- a/src/main/java/beaconladder/server/ClientConnection.java
+++ b/src/main/java/beaconladder/server/ClientConnection.java
@@ -23,6 +23,8 @@
     private static final long WRITE_TIMEOUT_NANOS = 5_000_000_000L;
     /** How long a client's bytes are still read after the final error. */
     static final long LINGER_NANOS = 500_000_000L;
+    /** How long the queries of a refused connection are still answered, each with the refusal. */
+    private static final long REFUSED_NANOS = 500_000_000L;
 
     private final ClientServer clientServer;
     private final RequestDispatcher dispatcher;
@@ -289,6 +291,9 @@
         if (overdue && !onReadable()) {
             return false;
         }
+        if (isRefusalOver(nowNanoTime)) {
+            endRefusedConnection();
+        }
         try {
             if (isStartupOverdue(nowNanoTime)) {
                 reader.respond(StartupResponse.fatal(ErrorResponse.PROTOCOL_VIOLATION, "no startup message in time"));
@@ -301,6 +306,22 @@
         return channel.isOpen();
     }
 
+    private boolean isRefusalOver(long nowNanoTime) {
+        long refusedSinceNanoTime = queue.refusedSinceNanoTime();
+        return !activity.isClosing() && refusedSinceNanoTime != 0 && nowNanoTime - refusedSinceNanoTime > REFUSED_NANOS;
+    }
+
+    /**
+     * Closes a connection beyond its tenant's quota between two queries, or after the answers to the queries that have
+     * been read, if its client goes on sending.
+     */
+    private void endRefusedConnection() {
+        if (!closeIfIdle(Long.MAX_VALUE)) {
+            handleMessagesLeft();
+            activity.markClosing();
+        }
+    }
+
     private boolean isStartupOverdue(long nowNanoTime) {
         return !activity.isClosing()
                 && !reader.isStarted()
--- a/src/main/java/beaconladder/server/PipelineQueue.java
+++ b/src/main/java/beaconladder/server/PipelineQueue.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 /**
  * The pipelined queries of one client. The reader adds them and several tasks complete them concurrently; one thread at
@@ -54,6 +55,10 @@
     private volatile long lastProgressNanoTime;
 
     private volatile boolean closed;
+    /** Returns the answer to each query that is not started, once the connection is refused; null before. */
+    private Supplier<MessageWriter> refusal;
+    /** The {@code System.nanoTime} at which the connection was refused, or 0. */
+    private volatile long refusedSinceNanoTime;
 
     PipelineQueue(
             MemoryPool queryMemory, MemoryPool answerMemory, Function<PipelineEntry, MessageWriter> localAnswers) {
@@ -119,6 +124,9 @@
         if (entry.answer == null && !entry.isLong()) {
             entry.answer = localAnswers.apply(entry);
         }
+        if (entry.answer == null && refusal != null) {
+            entry.answer = refusal.get();
+        }
         if (entry.answer == null) {
             for (PipelineEntry earlier : entries) {
                 entry.conflictsBefore += earlier.answer == null && earlier.conflictsWith(entry) ? 1 : 0;
@@ -180,7 +188,6 @@
             return false;
         }
         completed.answer = reply.messages();
-        completed.closesConnection = reply.closesConnection();
         memory.keepAnswer(completed, entries.peek() != completed || writeBlocked);
         for (PipelineEntry each : entries) {
             if (each.conflictsBefore > 0
@@ -196,6 +203,31 @@
         return true;
     }
 
+    /**
+     * Answers all queries that are not started with a refusal, in their order, and so all that are added from now on.
+     *
+     * @param answer returns the answer to one query
+     */
+    synchronized void refuse(Supplier<MessageWriter> answer) {
+        if (refusal != null) {
+            return;
+        }
+        refusal = answer;
+        refusedSinceNanoTime = System.nanoTime();
+        for (PipelineEntry each : entries) {
+            if (runnable.contains(each) || each.conflictsBefore > 0) {
+                each.conflictsBefore = 0;
+                each.answer = refusal.get();
+            }
+        }
+        runnable.clear();
+    }
+
+    /** Returns the {@code System.nanoTime} at which the connection was refused, or 0. */
+    long refusedSinceNanoTime() {
+        return refusedSinceNanoTime;
+    }
+
     /** Returns the first entry if it has its answer and no thread is writing, else null; the caller has to write it. */
     synchronized PipelineEntry beginWrite() {
         if (!isWriteDue()) {
--- a/src/main/java/beaconladder/server/QueryHandler.java
+++ b/src/main/java/beaconladder/server/QueryHandler.java
@@ -73,7 +73,7 @@
         AdmissionPermit permit = result.permit();
         if (permit == null) {
             QueryRejection.NOT_ADMITTED.record(dispatcher.monitor());
-            return new QueryReply(entry.isCancelled() ? cancelled() : result.answer(), result.closesConnection());
+            return new QueryReply(entry.isCancelled() ? cancelled() : result.answer(), result.refusesConnection());
         }
         Group group = dispatcher.group(permit.group());
         if (group == null) {
--- a/src/main/java/beaconladder/server/RequestTask.java
+++ b/src/main/java/beaconladder/server/RequestTask.java
@@ -44,9 +44,7 @@
         for (PipelineEntry next = queue.startNext(maxTasks()); next != null; next = queue.startNext(maxTasks())) {
             try {
                 startTasks();
-                if (!queue.complete(next, handler.answer(next), dispatcher.nowNanos())) {
-                    releaseAbandonedId(next);
-                }
+                complete(next, handler.answer(next));
                 startTasks();
                 writeAnswers(Long.MAX_VALUE);
             } catch (IOException | InterruptedException e) {
@@ -64,6 +62,20 @@
         }
     }
 
+    private void complete(PipelineEntry entry, QueryReply reply) {
+        if (reply.refusesConnection()) {
+            queue.refuse(this::refuseQuery);
+        }
+        if (!queue.complete(entry, reply, dispatcher.nowNanos())) {
+            releaseAbandonedId(entry);
+        }
+    }
+
+    private MessageWriter refuseQuery() {
+        QueryRejection.NOT_ADMITTED.record(dispatcher.monitor());
+        return Admission.connectionRefused();
+    }
+
     /**
      * Where cells are configured, the first request names the connection's tenant; until then only one task may run.
      */
--- a/src/test/java/beaconladder/server/RouterProcess.java
+++ b/src/test/java/beaconladder/server/RouterProcess.java
@@ -28,6 +28,11 @@
 
     /** Starts a router from a shell that first runs the commands of the prefix. */
     RouterProcess(Path folder, String config, int port, String shellPrefix) throws IOException {
+        this(folder, config, port, shellPrefix, null);
+    }
+
+    /** Starts a router with this plan of cells, or without cells where it is null. */
+    RouterProcess(Path folder, String config, int port, String shellPrefix, Path plan) throws IOException {
         this.port = port;
         file = Files.createTempFile(folder, "config", ".json");
         Files.writeString(file, config);
@@ -37,7 +42,8 @@
                 .findFirst()
                 .orElseThrow()
                 .split("\"")[1];
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", shellPrefix + runCommand)
+        ProcessBuilder builder = new ProcessBuilder(
+                        "/bin/sh", "-c", shellPrefix + runCommand + (plan == null ? "" : " --plan " + plan))
                 .redirectErrorStream(true)
                 .redirectOutput(log.toFile());
         builder.environment().put("BALANCER_CONFIG", file.toString());
--- a/src/test/java/beaconladder/server/RouterProcessFixture.java
+++ b/src/test/java/beaconladder/server/RouterProcessFixture.java
@@ -34,6 +34,9 @@
     final StringBuilder transcript = new StringBuilder();
     int maxDescriptors = 1024;
     int memoryMb = 192;
+    /** The plan of cells, or null for none. */
+    Path planFile;
+
     HostStandIn primary;
     HostStandIn replica;
     DiscoveryStandIn discovery;
@@ -110,7 +113,8 @@
 
     void start() throws Exception {
         int port = RouterProcess.freePort();
-        router = closeAfterTest(new RouterProcess(folder, config(port), port)).awaitReady();
+        router = closeAfterTest(new RouterProcess(folder, config(port), port, "", planFile))
+                .awaitReady();
     }
 
     String config(int port) {
