Tell what was sent behind a final error by a reset that keeps the answers

Clients that sent queries behind a message that can't be read, behind a message whose rest came too late, or with a startup message that was refused, got the error and an orderly end: nothing told them that those queries were not read. The same for a connection whose answer could not be written.

Cause: the output was shut right behind the error, so the end of the stream came first, whatever lay behind; and the JDK ends a registered channel in an orderly way before it closes it, so that a later reset is not seen by a client that only reads.

Change: ConnectionEnd owns the end of a connection, LingeringClose decides it. Nothing is shut early. If bytes of the client were not handled, the connection ends by a reset; it waits until the client's system has received the answers (the send buffer is reduced, so that the selector reports an empty one), for 5 s at the most. Otherwise the end is an orderly one, as before half a second after the error, or as the client closes.

--- a/src/main/java/beaconladder/server/ClientChannel.java
+++ b/src/main/java/beaconladder/server/ClientChannel.java
@@ -2,14 +2,23 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.ByteChannel;
 import java.nio.channels.SocketChannel;
 
 /** A client's non-blocking connection: reads and writes transfer what is possible without waiting. */
 interface ClientChannel extends ByteChannel {
-    /** Half-closes the connection; the client may still write. */
-    void shutdownOutput() throws IOException;
+    /** Closes the connection by a reset; what the client's system has not received yet is lost. */
+    void reset() throws IOException;
+
+    /**
+     * From now on the selector reports the channel as writable only when the client's system has received nearly all
+     * that was written. Nothing more must be written.
+     */
+    default void reportWhenFlushed() throws IOException {
+        // A connection in memory holds nothing back.
+    }
 
     /** The client's address, or null for a connection in memory. */
     default InetAddress remoteAddress() {
@@ -34,8 +43,15 @@
         }
 
         @Override
-        public void shutdownOutput() throws IOException {
-            channel.shutdownOutput();
+        public void reset() throws IOException {
+            // Without this option the close of a registered channel first ends the connection in an orderly way.
+            channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+            channel.close();
+        }
+
+        @Override
+        public void reportWhenFlushed() throws IOException {
+            channel.setOption(StandardSocketOptions.SO_SNDBUF, 1);
         }
 
         @Override
--- a/src/main/java/beaconladder/server/ClientConnection.java
+++ b/src/main/java/beaconladder/server/ClientConnection.java
@@ -17,12 +17,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
     /** The time for the startup message after the accept, and for a complete message after its first byte. */
     private static final long MESSAGE_TIMEOUT_NANOS = 2_000_000_000L;
-    /** How much is still read and discarded after the last answer, so that the client receives the final error. */
-    private static final int MAX_DISCARDED_BYTES = 64 * 1024;
     /** A client is disconnected when none of an answer could be written to it for this long. */
     private static final long WRITE_TIMEOUT_NANOS = 5_000_000_000L;
-    /** How long a client's bytes are still read after the final error. */
-    static final long LINGER_NANOS = 500_000_000L;
     /** How long the queries of a refused connection are still answered, each with the refusal. */
     private static final long REFUSED_NANOS = 500_000_000L;
 
@@ -37,10 +33,9 @@
 
     private final RequestTask task;
     private final ClientReader reader;
+    private final ConnectionEnd end;
     private final long cancelKey;
     private final AtomicBoolean attentionRequested = new AtomicBoolean();
-    /** The bytes that were discarded while no request was waiting any more. */
-    private int discardedBytes;
     /** Whether messages that have arrived completely are left to the next turn. */
     private boolean messagesLeft;
     /** Whether the final read has been done; afterwards only a message that had begun by then is completed. */
@@ -65,6 +60,7 @@
         this.queue = new PipelineQueue(clientServer.queryMemory(), clientServer.answerMemory(), this::localAnswer);
         this.task = new RequestTask(this, clientServer, dispatcher, serverConnections, queue);
         this.reader = new ClientReader(this, clientServer, dispatcher, in, queue, task);
+        this.end = new ConnectionEnd(this, clientServer, dispatcher, in, queue, task);
     }
 
     private MessageWriter localAnswer(PipelineEntry entry) {
@@ -85,6 +81,11 @@
         return activity;
     }
 
+    /** Returns what ends this connection. */
+    ConnectionEnd end() {
+        return end;
+    }
+
     /** Returns when the bytes being handled were read, in Unix nanoseconds of the dispatcher's clock. */
     long readNanos() {
         return readNanos;
@@ -157,7 +158,7 @@
             return false;
         }
         if (activity.isClosing()) {
-            return discardOnce();
+            return !end.leavesUnread() && end.discardOnce();
         }
         int bytesRead = in.readFrom(channel);
         readNanos = dispatcher.nowNanos();
@@ -174,18 +175,6 @@
         return false;
     }
 
-    /** Discards what has been read, and reads and discards once more; returns whether more may have arrived. */
-    private boolean discardOnce() throws IOException {
-        in.release();
-        int bytesRead = clientServer.discardFrom(channel);
-        if (bytesRead < 0) {
-            close(queue.unansweredQueries() > 0 ? CloseCause.CLIENT_CLOSED : CloseCause.TOLD_TO_GO);
-            return false;
-        }
-        discardedBytes += queue.hasUnansweredQuery() ? 0 : bytesRead;
-        return bytesRead > 0;
-    }
-
     /** Whether the rest of what has arrived waits for the next turn. */
     boolean hasMessagesLeft() {
         return messagesLeft;
@@ -209,13 +198,13 @@
         if (!activity.isClosing() && !finalReadDone) {
             return true;
         }
-        boolean lingers = activity.isClosing() ? discardedBytes < MAX_DISCARDED_BYTES : in.messageStartNanos() != 0;
+        boolean lingers = activity.isClosing() ? end.wantsRead() : in.messageStartNanos() != 0;
         return lingers || queue.hasUnansweredQuery();
     }
 
     /** Whether the selector should report when the client can receive more. */
     boolean wantsWrite() {
-        return queue.isWriteBlocked();
+        return queue.isWriteBlocked() || end.awaitsFlush();
     }
 
     /** Marks the connection as one that the reader has to look at; returns false if it is marked already. */
@@ -234,7 +223,7 @@
         } catch (IOException e) {
             close(CloseCause.CLIENT_BROKEN);
         }
-        return channel.isOpen();
+        return channel.isOpen() && !end.closeIfLingered(System.nanoTime());
     }
 
     /** Whether the query that has just arrived must be rejected because its first byte came after the final read. */
@@ -250,36 +239,16 @@
     }
 
     void close(CloseCause cause) {
-        // First, so that what the client sends from here on stays unread and a reset informs it of that.
-        closeChannel();
-        int unanswered = queue.unansweredQueries();
-        dispatcher.monitor().counters().add("closed", cause);
-        EventTrace.clientClosed(cancelKey, cause, unanswered, in.unreadBytes());
-        if (!cause.isByClient()) {
-            dispatcher.monitor().invariants().checkClosedConnection(cause.name(), unanswered);
-        }
-        task.onDisconnected();
-        clientServer.onClosed(this);
-        in.release();
-    }
-
-    /** Closes only the channel; the sweep completes the close. May be called by any thread. */
-    void closeChannel() {
-        try {
-            channel.close();
-        } catch (IOException e) {
-            LOG.debug("closing a client connection failed: {}", e.toString());
-        }
+        end.close(cause);
     }
 
     /** Closes the connection if a timeout has passed; returns false if it is closed. */
     boolean sweep(long nowNanoTime) {
-        long closingSinceNanoTime = activity.closingSinceNanoTime();
-        if (!channel.isOpen()
-                || closingSinceNanoTime != 0
-                        && nowNanoTime - closingSinceNanoTime > LINGER_NANOS
-                        && !queue.hasEntries()) {
-            close(closingSinceNanoTime != 0 ? CloseCause.TOLD_TO_GO : CloseCause.CLIENT_BROKEN);
+        if (!channel.isOpen()) {
+            close(CloseCause.CLIENT_BROKEN);
+            return false;
+        }
+        if (end.closeIfLingered(nowNanoTime)) {
             return false;
         }
         if (queue.isStalled(WRITE_TIMEOUT_NANOS, nowNanoTime)) {
@@ -318,7 +287,7 @@
     private void endRefusedConnection() {
         if (!closeIfIdle(Long.MAX_VALUE)) {
             handleMessagesLeft();
-            activity.markClosing();
+            end.endWithoutReading(CloseCause.TOLD_TO_GO);
         }
     }
 
@@ -335,8 +304,8 @@
     }
 
     /**
-     * Closes the connection if it has been idle since before this {@code System.nanoTime}, after reading what has
-     * arrived. Returns whether it has been closed.
+     * Ends the connection if it has been idle since before this {@code System.nanoTime}, after reading what has
+     * arrived. Returns whether it ends; it is closed once the client has received the answers before.
      */
     boolean closeIfIdle(long idleBeforeNanoTime) {
         // Most are not idle, and are not read for this check.
@@ -347,9 +316,8 @@
                 || !isIdle(idleBeforeNanoTime)) {
             return false;
         }
-        // Closed, not half-closed: a query that crosses the close is answered by a reset, which tells the client that
-        // it was not read. The connection is read once more right before the close, as this thread may have been
-        // suspended since the check above.
+        // The connection is read once more right before its end, as this thread may have been suspended since the
+        // check above.
         try {
             if (!finalReadDone && in.readFrom(channel) > 0) {
                 readNanos = dispatcher.nowNanos();
--- a/src/main/java/beaconladder/server/ClientReader.java
+++ b/src/main/java/beaconladder/server/ClientReader.java
@@ -96,7 +96,6 @@
         }
         sendNow(response.answer());
         if (response.kind() == StartupResponse.Kind.FATAL) {
-            channel.shutdownOutput();
             client.activity().markClosing();
         }
     }
--- a/src/main/java/beaconladder/server/ClientServer.java
+++ b/src/main/java/beaconladder/server/ClientServer.java
@@ -152,9 +152,10 @@
             return;
         }
         if (key.isWritable()) {
+            client.end().onWritable();
             requestAttention(client);
         }
-        if (key.isReadable()) {
+        if (key.isReadable() && client.end().onReadReady()) {
             readable.add(client);
         }
     }
@@ -166,10 +167,10 @@
         for (int i = 0; i < count; i++) {
             ClientConnection client = attention.poll();
             if (connectionTable.all().contains(client) && client.writeAnswers(turnNanos)) {
-                updateInterest(client);
                 if (shutdown != null) {
                     client.closeIfIdle(Long.MAX_VALUE);
                 }
+                updateInterest(client);
             }
         }
     }
@@ -240,11 +241,11 @@
         resourceUse.record(SharedResource.THREADS, threadLimit.freeThreads(), threadLimit.maxThreads());
         for (ClientConnection client : connectionTable.all()) {
             if (client.sweep(nowNanoTime)) {
-                updateInterest(client);
                 connectionTable.closeIfLongIdle(client, nowNanoTime);
                 if (shutdown != null) {
                     client.closeIfIdle(Long.MAX_VALUE);
                 }
+                updateInterest(client);
                 // Also those that were read to see whether they are idle, here or while a descriptor was freed.
                 giveAnotherTurnIfNeeded(client);
             }
--- a/src/main/java/beaconladder/server/PipelineQueue.java
+++ b/src/main/java/beaconladder/server/PipelineQueue.java
@@ -287,6 +287,12 @@
         return count;
     }
 
+    /** Returns whether a part of an answer has been written, so that the client can tell that it is not whole. */
+    synchronized boolean isAnswerCut() {
+        PipelineEntry first = entries.peek();
+        return first != null && first.isWriteBegun() && first.unwritten().position() > 0;
+    }
+
     private boolean isBeingWritten(PipelineEntry entry) {
         return entry == entries.peek() && (writing || entry.isWriteBegun());
     }
--- a/src/main/java/beaconladder/server/RequestTask.java
+++ b/src/main/java/beaconladder/server/RequestTask.java
@@ -47,13 +47,12 @@
                 complete(next, handler.answer(next));
                 startTasks();
                 writeAnswers(Long.MAX_VALUE);
-            } catch (IOException | InterruptedException e) {
-                closeConnection();
-                releaseAbandonedId(next);
-            } catch (RuntimeException | Error e) {
-                LOG.error("closing a client's connection after an internal error", e);
-                closeConnection();
-                releaseAbandonedId(next);
+            } catch (IOException e) {
+                LOG.debug("a client connection failed: {}", e.toString());
+                failConnection(CloseCause.CLIENT_BROKEN, next);
+            } catch (InterruptedException | RuntimeException | Error e) {
+                LOG.error("ending a client's connection after an internal error", e);
+                failConnection(CloseCause.FAULT, next);
             }
             client.activity().markUsed();
         }
@@ -112,10 +111,13 @@
         return rejected != null;
     }
 
-    /** Closes a connection that failed, and abandons its requests in flight. */
-    private void closeConnection() {
-        client.closeChannel();
-        abandon(queue.close());
+    /** Ends a connection that failed without further answers, and abandons its requests in flight. */
+    private void failConnection(CloseCause cause, PipelineEntry failed) {
+        int unanswered = queue.unansweredQueries();
+        List<PipelineEntry> dropped = queue.close();
+        client.end().fail(cause, unanswered);
+        abandon(dropped);
+        releaseAbandonedId(failed);
     }
 
     /**
@@ -131,9 +133,9 @@
             }
             client.activity().markUsed();
             if (first.closesConnection()) {
-                channel.shutdownOutput();
                 client.activity().markClosing();
                 abandon(queue.close());
+                clientServer.requestAttention(client);
             }
             queue.endWrite();
             InFlightRequest answered = first.takeInFlight();
--- a/src/main/java/beaconladder/server/RouterServer.java
+++ b/src/main/java/beaconladder/server/RouterServer.java
@@ -252,7 +252,7 @@
         TimeUnit.NANOSECONDS.sleep(GracefulShutdown.NOTICE_NANOS);
         clients.drain(shutdown);
         while (clients.connectionCount() > 0
-                && dispatcher.nowNanos() < shutdown.exitNanos() + ClientConnection.LINGER_NANOS) {
+                && dispatcher.nowNanos() < shutdown.exitNanos() + LingeringClose.LINGER_NANOS) {
             Thread.sleep(POLL_INTERVAL_MILLIS);
         }
         Thread.sleep(FLUSH_MILLIS);
--- a/src/main/java/beaconladder/server/WarmUp.java
+++ b/src/main/java/beaconladder/server/WarmUp.java
@@ -174,7 +174,7 @@
         }
 
         @Override
-        public void shutdownOutput() {
+        public void reset() {
             close();
         }
 
--- a/src/main/java/beaconladder/testbed/TestClient.java
+++ b/src/main/java/beaconladder/testbed/TestClient.java
@@ -103,6 +103,11 @@
         return reset;
     }
 
+    /** Returns whether a read found that the other side has reset the connection, so that no orderly end came first. */
+    public boolean endedByReset() {
+        return reset;
+    }
+
     /** Returns the number of bytes that have arrived and are not yet read. */
     public int waiting() throws IOException {
         return in.available();
--- a/src/test/java/beaconladder/server/ClientConnectionTest.java
+++ b/src/test/java/beaconladder/server/ClientConnectionTest.java
@@ -139,7 +139,9 @@
         }
 
         @Override
-        public void shutdownOutput() {}
+        public void reset() {
+            close();
+        }
 
         @Override
         public synchronized boolean isOpen() {
