Keep the answers a client has not received at the end of a drain or idle time

A client that took in its answers slowly while a router drained, and sent one more query meanwhile, lost the answers that had been written: its connection was closed with them in the send buffer, the query met a closed socket, and the system's reset dropped the rest ("T closed" in place of a row of 60 KB).

Cause: ClientConnection.closeIfIdle closed as soon as the last answer was in the send buffer, for a drain without a look at what had arrived since its final read.

Nothing is read, so nothing is taken.

ClientConnectionTest plays the selector's report, as the channel is closed only then; what it asserts of each read is as it was, and that the channel is closed is asserted in addition.

ConnectionEndIT.aDrainKeepsTheAnswers... fails on the state before.

--- a/src/main/java/beaconladder/server/ClientConnection.java
+++ b/src/main/java/beaconladder/server/ClientConnection.java
@@ -327,7 +327,7 @@
         } catch (IOException e) {
             LOG.debug("a client connection failed: {}", e.toString());
         }
-        close(finalReadDone || clientServer.shutdown() != null ? CloseCause.DRAINED : CloseCause.IDLE);
+        end.endWithoutReading(finalReadDone || clientServer.shutdown() != null ? CloseCause.DRAINED : CloseCause.IDLE);
         return true;
     }
 
--- a/src/test/java/beaconladder/server/ClientConnectionTest.java
+++ b/src/test/java/beaconladder/server/ClientConnectionTest.java
@@ -43,6 +43,10 @@
             channel.clearWritten();
             // Idle since before now, as the sweep calls it: a query that is answered during the call is an activity.
             boolean closed = client.closeIfIdle(System.nanoTime());
+            // The selector reports that the client has received all that was written.
+            client.end().onWritable();
+            client.writeAnswers(0);
+            assertThat(channel.isOpen()).isEqualTo(!closed);
             for (int i = 0; i < 500 && !channel.writtenTypes().contains("Z") && !closed; i++) {
                 Thread.sleep(10);
             }
--- a/src/test/java/beaconladder/server/ConnectionEndIT.java
+++ b/src/test/java/beaconladder/server/ConnectionEndIT.java
@@ -113,6 +113,34 @@
         assertNothingRan("behind");
     }
 
+    /** Guards against the same at the end of a drain, for a query that comes after the last answer was written. */
+    @Test
+    void aDrainKeepsTheAnswersThatTheClientHasNotReceivedAndTellsALaterQueryByAReset() throws Exception {
+        start();
+        replica.value = new byte[LARGE_VALUE_BYTES];
+        primary.value = new byte[LARGE_VALUE_BYTES];
+        TestClient client = slowReceiver();
+        primary.delayMillis = 500;
+        replica.delayMillis = 500;
+        router.sendSignal("TERM");
+        TimeUnit.MILLISECONDS.sleep(450);
+        MessageWriter messages = new MessageWriter();
+        for (int i = 0; i < 8; i++) {
+            messages.append(MessageWriter.query(read("large" + i, 2000)));
+        }
+        messages.writeTo(client.out);
+        TimeUnit.MILLISECONDS.sleep(1_000);
+        MessageWriter.query(read("behind", 2000)).writeTo(client.out);
+        TimeUnit.MILLISECONDS.sleep(300);
+        for (int i = 0; i < 8; i++) {
+            assertThat(client.answer()).as("answer %d", i).isEqualTo(LARGE_ROW);
+        }
+        assertThat(client.answer()).isEqualTo("closed");
+        assertThat(client.endedByReset()).isTrue();
+        assertNothingRan("behind");
+        assertThat(router.process.waitFor(10, TimeUnit.SECONDS)).isTrue();
+    }
+
     // ---- Helpers ------------------------------------------------------------------------------------------
 
     private static MessageWriter messageOf(String hex) {
