Answer the queries that were read before a Terminate

A client that wrote queries and a Terminate at once, and waited, got the end of its connection and no answer: the message closed the connection at once and dropped the queue.

Cause: ClientReader closed at the message; queries before it count as read.

Change: Terminate takes its place in the order of the answers and closes the connection behind them. Until then the connection is read for the client's own end, as before any other end: a client that closes behind its Terminate has left, and nothing more is sent for it.

ConnectionEndIT: queriesBeforeATerminate... and its other side, nothingIsForwardedForAClientThatClosesBehindATerminate, fail on the state before (there no query reached a host).

--- a/src/main/java/beaconladder/server/ClientReader.java
+++ b/src/main/java/beaconladder/server/ClientReader.java
@@ -103,7 +103,10 @@
     private void handleMessage(long endNanoTime) throws IOException {
         switch (in.type()) {
             case 'Q' -> handleQuery(endNanoTime);
-            case 'X' -> client.close(CloseCause.CLIENT_TERMINATED);
+            case 'X' -> {
+                client.end().onTerminate();
+                add(new PipelineEntry(new MessageWriter(), true), Long.MAX_VALUE);
+            }
             case 'P', 'B', 'D', 'E', 'C', 'F', 'H', 'd', 'c', 'f' -> {
                 if (!skippingToSync) {
                     skippingToSync = true;
--- a/src/main/java/beaconladder/server/ConnectionEnd.java
+++ b/src/main/java/beaconladder/server/ConnectionEnd.java
@@ -74,6 +74,13 @@
         return true;
     }
 
+    /** Records that the client has sent Terminate: the connection closes after the answers to the queries before it. */
+    void onTerminate() {
+        cause = CloseCause.CLIENT_TERMINATED;
+        lingeringClose.onClientEnd();
+        activity.markClosing();
+    }
+
     /**
      * Ends a connection that failed, without further answers. May be called by any thread.
      *
--- a/src/test/java/beaconladder/server/ConnectionEndIT.java
+++ b/src/test/java/beaconladder/server/ConnectionEndIT.java
@@ -141,6 +141,43 @@
         assertThat(router.process.waitFor(10, TimeUnit.SECONDS)).isTrue();
     }
 
+    /** Guards against queries that are dropped as a Terminate has been read behind them. */
+    @Test
+    void queriesBeforeATerminateAreAnsweredBeforeTheEnd() throws Exception {
+        start();
+        TestClient client = connect();
+        query(client, write("warm", 2000));
+        primary.delayMillis = 300;
+        replica.delayMillis = 300;
+        MessageWriter.query(read("t1", 2000))
+                .append(MessageWriter.query(write("t2", 2000)))
+                .append(MessageWriter.query(read("t3", 2000)))
+                .append(messageOf("58 00000004"))
+                .writeTo(client.out);
+        append(client.answer(), client.answer(), client.answer(), client.answer());
+        assertThat(transcript.toString()).isEqualTo((ROW + "\n").repeat(3) + "closed\n");
+        assertThat(client.endedByReset()).isFalse();
+    }
+
+    /** The other side: a client that closes its connection behind a Terminate has left, whatever was before it. */
+    @Test
+    void nothingIsForwardedForAClientThatClosesBehindATerminate() throws Exception {
+        start();
+        TestClient client = connect();
+        query(client, write("warm", 2000));
+        primary.delayMillis = 400;
+        MessageWriter messages = new MessageWriter();
+        for (int i = 0; i < 4; i++) {
+            messages.append(MessageWriter.query(write("leaves" + i + "x", 2000)));
+        }
+        messages.append(messageOf("58 00000004")).writeTo(client.out);
+        await(() -> primary.queries().stream().anyMatch(query -> query.contains("id=leaves")));
+        client.close();
+        TimeUnit.MILLISECONDS.sleep(1_500);
+        assertThat(primary.queries().stream().filter(query -> query.contains("id=leaves")))
+                .hasSize(1);
+    }
+
     // ---- Helpers ------------------------------------------------------------------------------------------
 
     private static MessageWriter messageOf(String hex) {
