--- a/src/main/java/beaconladder/server/ClientConnection.java
+++ b/src/main/java/beaconladder/server/ClientConnection.java
@@ -141,10 +141,27 @@
             LOG.debug("a client connection failed: {}", e.toString());
             close(CloseCause.CLIENT_BROKEN);
         } catch (RuntimeException | Error e) {
+            LOG.error("ending a client connection after an internal error", e);
+            endAfterFault();
+        }
+        return channel.isOpen();
+    }
+
+    /**
+     * Sends an error in the order of the answers, after which the connection closes, or closes it if that fails too.
+     */
+    private void endAfterFault() {
+        if (activity.isClosing()) {
+            close(CloseCause.FAULT);
+            return;
+        }
+        try {
+            end.onFault();
+            reader.closeWithError(ErrorResponse.INTERNAL_ERROR, "an internal error of the router");
+        } catch (IOException | RuntimeException | Error e) {
             LOG.error("closing a client connection after an internal error", e);
             close(CloseCause.FAULT);
         }
-        return channel.isOpen();
     }
 
     /** Handles the messages that were left, or reads once; returns whether more is known to have arrived. */
@@ -222,6 +239,9 @@
             task.writeAnswers(System.nanoTime() + turnNanos);
         } catch (IOException e) {
             close(CloseCause.CLIENT_BROKEN);
+        } catch (RuntimeException | Error e) {
+            LOG.error("closing a client connection after an internal error", e);
+            close(CloseCause.FAULT);
         }
         return channel.isOpen() && !end.closeIfLingered(System.nanoTime());
     }
--- a/src/main/java/beaconladder/server/ClientReader.java
+++ b/src/main/java/beaconladder/server/ClientReader.java
@@ -150,9 +150,14 @@
                 endNanoTime);
     }
 
-    /** Sends an error in pipeline order, after which the connection closes. */
+    /** Sends the error of a message that can't be read in pipeline order, after which the connection closes. */
     void closeWithError(String message) throws IOException {
-        add(new PipelineEntry(ErrorResponse.fatal(ErrorResponse.PROTOCOL_VIOLATION, message), true), Long.MAX_VALUE);
+        closeWithError(ErrorResponse.PROTOCOL_VIOLATION, message);
+    }
+
+    /** Sends an error in pipeline order, after which the connection closes. */
+    void closeWithError(String sqlState, String message) throws IOException {
+        add(new PipelineEntry(ErrorResponse.fatal(sqlState, message), true), Long.MAX_VALUE);
         client.activity().markClosing();
     }
 
--- a/src/main/java/beaconladder/server/ConnectionEnd.java
+++ b/src/main/java/beaconladder/server/ConnectionEnd.java
@@ -81,6 +81,11 @@
         activity.markClosing();
     }
 
+    /** Records that the connection closes after the error that informs its client of an internal error. */
+    void onFault() {
+        cause = CloseCause.FAULT;
+    }
+
     /**
      * Ends a connection that failed, without further answers. May be called by any thread.
      *
--- a/src/main/java/beaconladder/server/ErrorResponse.java
+++ b/src/main/java/beaconladder/server/ErrorResponse.java
@@ -13,6 +13,7 @@
     static final String TOO_MANY_CONNECTIONS = "53300";
     static final String QUERY_CANCELED = "57014";
     static final String CANNOT_CONNECT_NOW = "57P03";
+    static final String INTERNAL_ERROR = "XX000";
 
     private ErrorResponse() {}
 
