--- a/src/test/java/beaconladder/server/ConnectionEndIT.java
+++ b/src/test/java/beaconladder/server/ConnectionEndIT.java
@@ -25,6 +25,9 @@
     private static final String UNKNOWN_TYPE = "7a 00000004";
     private static final int LARGE_VALUE_BYTES = 60_000;
     private static final String LARGE_ROW = "T D:00000000000000000000 C:SELECT 1 Z";
+    /** Their answers are more than a system holds for a client that does not read. */
+    private static final int STALLED_QUERIES = 100;
+
     private static final int SMALL_RECEIVE_BUFFER_BYTES = 4_096;
 
     /** Guards against an orderly end for queries that come behind a message that can't be read. */
@@ -178,6 +181,35 @@
                 .hasSize(1);
     }
 
+    /**
+     * Guards against an orderly end between two answers for a client that takes nothing in: it has to see that its
+     * other queries have none.
+     */
+    @Test
+    void aClientThatTakesNothingInCanTellThatItsOtherQueriesHaveNoAnswer() throws Exception {
+        start();
+        replica.value = new byte[LARGE_VALUE_BYTES];
+        primary.value = new byte[LARGE_VALUE_BYTES];
+        TestClient client = slowReceiver();
+        MessageWriter messages = new MessageWriter();
+        for (int i = 0; i < STALLED_QUERIES; i++) {
+            messages.append(MessageWriter.query(read("stalled" + i, 2000)));
+        }
+        messages.writeTo(client.out);
+        TimeUnit.MILLISECONDS.sleep(7_000);
+        int answered = 0;
+        String answer = client.answer();
+        while (!answer.endsWith("closed")) {
+            assertThat(answer).matches(LARGE_ROW + "|E:.* Z");
+            answered++;
+            answer = client.answer();
+        }
+        assertThat(answered).isBetween(1, STALLED_QUERIES - 1);
+        assertThat(!answer.equals("closed") || client.endedByReset())
+                .as("%d answers, then %s", answered, answer)
+                .isTrue();
+    }
+
     // ---- Helpers ------------------------------------------------------------------------------------------
 
     private static MessageWriter messageOf(String hex) {
