--- a/src/main/java/beaconladder/server/ConnectionTable.java
+++ b/src/main/java/beaconladder/server/ConnectionTable.java
@@ -63,14 +63,26 @@
 
     /** Closes connections, if descriptors are short, before one more is accepted. */
     void freeDescriptorsForNext(int held) {
-        if (all.stream().filter(client -> !client.activity().hasSentRequest()).count() >= maxWithoutRequest) {
+        if (withoutRequest() >= maxWithoutRequest) {
             closeOldest(client -> !client.activity().hasSentRequest());
         }
-        if (held >= maxServed) {
+        if (held >= maxServed && held - ending() >= maxServed) {
             freeDescriptor();
         }
     }
 
+    private long withoutRequest() {
+        return all.stream()
+                .filter(client ->
+                        !client.activity().hasSentRequest() && !client.end().leavesUnread())
+                .count();
+    }
+
+    /** The number of connections that were idle and are closed as soon as their clients have received all answers. */
+    private long ending() {
+        return all.stream().filter(client -> client.end().leavesUnread()).count();
+    }
+
     /** Closes a client that has sent no request, else an idle connection to a host, else an idle client. */
     void freeDescriptor() {
         if (!closeOldest(client -> !client.activity().hasSentRequest()) && !serverConnections.closeOldestIdle()) {
