Move a client's time limits and the failure of a query to classes of their own

ClientTimeouts ends connections whose time limits have passed; QueryHandler answers a query also where that fails. A refused connection whose client closes at the very end of the refusal is closed once only, and counted once.

--- a/src/main/java/beaconladder/server/ClientConnection.java
+++ b/src/main/java/beaconladder/server/ClientConnection.java
@@ -15,12 +15,6 @@
  */
 final class ClientConnection {
     private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
-    /** The time for the startup message after the accept, and for a complete message after its first byte. */
-    private static final long MESSAGE_TIMEOUT_NANOS = 2_000_000_000L;
-    /** A client is disconnected when none of an answer could be written to it for this long. */
-    private static final long WRITE_TIMEOUT_NANOS = 5_000_000_000L;
-    /** How long the queries of a refused connection are still answered, each with the refusal. */
-    private static final long REFUSED_NANOS = 500_000_000L;
 
     private final ClientServer clientServer;
     private final RequestDispatcher dispatcher;
@@ -34,6 +28,7 @@
     private final RequestTask task;
     private final ClientReader reader;
     private final ConnectionEnd end;
+    private final ClientTimeouts timeouts;
     private final long cancelKey;
     private final AtomicBoolean attentionRequested = new AtomicBoolean();
     /** Whether messages that have arrived completely are left to the next turn. */
@@ -61,6 +56,7 @@
         this.task = new RequestTask(this, clientServer, dispatcher, serverConnections, queue);
         this.reader = new ClientReader(this, clientServer, dispatcher, in, queue, task);
         this.end = new ConnectionEnd(this, clientServer, dispatcher, in, queue, task);
+        this.timeouts = new ClientTimeouts(this, in, queue, reader);
     }
 
     private MessageWriter localAnswer(PipelineEntry entry) {
@@ -264,65 +260,20 @@
 
     /** Closes the connection if a timeout has passed; returns false if it is closed. */
     boolean sweep(long nowNanoTime) {
-        if (!channel.isOpen()) {
-            close(CloseCause.CLIENT_BROKEN);
-            return false;
-        }
-        if (end.closeIfLingered(nowNanoTime)) {
-            return false;
-        }
-        if (queue.isStalled(WRITE_TIMEOUT_NANOS, nowNanoTime)) {
-            close(CloseCause.CLIENT_BROKEN);
-            return false;
-        }
-        // What has arrived counts as in time: it may be the reader that is late.
-        boolean overdue = isStartupOverdue(nowNanoTime) || isMessageOverdue(nowNanoTime);
-        if (overdue && !onReadable()) {
-            return false;
-        }
-        if (isRefusalOver(nowNanoTime)) {
-            endRefusedConnection();
-        }
-        try {
-            if (isStartupOverdue(nowNanoTime)) {
-                reader.respond(StartupResponse.fatal(ErrorResponse.PROTOCOL_VIOLATION, "no startup message in time"));
-            } else if (isMessageOverdue(nowNanoTime)) {
-                reader.closeWithError("a message whose rest did not come in time");
-            }
-        } catch (IOException e) {
-            close(CloseCause.CLIENT_BROKEN);
-        }
-        return channel.isOpen();
+        return timeouts.check(nowNanoTime);
     }
 
-    private boolean isRefusalOver(long nowNanoTime) {
-        long refusedSinceNanoTime = queue.refusedSinceNanoTime();
-        return !activity.isClosing() && refusedSinceNanoTime != 0 && nowNanoTime - refusedSinceNanoTime > REFUSED_NANOS;
-    }
-
-    /**
-     * Closes a connection beyond its tenant's quota between two queries, or after the answers to the queries that have
-     * been read, if its client goes on sending.
-     */
-    private void endRefusedConnection() {
-        if (!closeIfIdle(Long.MAX_VALUE)) {
-            handleMessagesLeft();
+    /** Ends a connection beyond its tenant's quota between two queries, or after the answers to what has been read. */
+    void endRefusedConnection() {
+        if (closeIfIdle(Long.MAX_VALUE)) {
+            return;
+        }
+        handleMessagesLeft();
+        if (channel.isOpen()) {
             end.endWithoutReading(CloseCause.TOLD_TO_GO);
         }
     }
 
-    private boolean isStartupOverdue(long nowNanoTime) {
-        return !activity.isClosing()
-                && !reader.isStarted()
-                && nowNanoTime - activity.lastUsedNanoTime() > MESSAGE_TIMEOUT_NANOS;
-    }
-
-    private boolean isMessageOverdue(long nowNanoTime) {
-        return !activity.isClosing()
-                && in.messageStartNanos() != 0
-                && nowNanoTime - in.messageStartNanos() > MESSAGE_TIMEOUT_NANOS;
-    }
-
     /**
      * Ends the connection if it has been idle since before this {@code System.nanoTime}, after reading what has
      * arrived. Returns whether it ends; it is closed once the client has received the answers before.
--- a/src/main/java/beaconladder/server/QueryHandler.java
+++ b/src/main/java/beaconladder/server/QueryHandler.java
@@ -4,9 +4,13 @@
 import beaconladder.pg.MessageWriter;
 import beaconladder.routing.state.Group;
 import java.util.function.BooleanSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Answers one client's queries: parses, admits and submits each, then runs the dispatcher's commands for it. */
 final class QueryHandler {
+    private static final Logger LOG = LoggerFactory.getLogger(QueryHandler.class);
+
     private final ClientConnection client;
     private final ClientServer clientServer;
     private final RequestDispatcher dispatcher;
@@ -35,10 +39,25 @@
     }
 
     /**
-     * Returns the final answer to a query, after at most the query's time budget. The request stays set at the entry,
-     * so that its id is released once the answer is written.
+     * Returns the final answer to a query, after at most the query's time budget; also where answering it fails, as the
+     * queries behind it have to go on. The request stays set at the entry, so that its id is released once the answer
+     * is written.
      */
-    QueryReply answer(PipelineEntry entry) throws InterruptedException {
+    QueryReply answer(PipelineEntry entry) {
+        try {
+            return answerOrFail(entry);
+        } catch (InterruptedException | RuntimeException | Error e) {
+            LOG.error("a query ends with an internal error", e);
+            InFlightRequest request = entry.inFlight();
+            if (request != null) {
+                dispatcher.abandon(request);
+            }
+            return QueryReply.of(ErrorResponse.error(
+                    ErrorResponse.STATEMENT_COMPLETION_UNKNOWN, "an internal error of the router; it may have run"));
+        }
+    }
+
+    private QueryReply answerOrFail(PipelineEntry entry) throws InterruptedException {
         ParsedQuery query = ParsedQuery.parse(entry.query(), entry.statement(), dispatcher);
         if (query.answer() != null) {
             return QueryReply.of(query.answer());
--- a/src/main/java/beaconladder/server/RequestTask.java
+++ b/src/main/java/beaconladder/server/RequestTask.java
@@ -44,7 +44,7 @@
         for (PipelineEntry next = queue.startNext(maxTasks()); next != null; next = queue.startNext(maxTasks())) {
             try {
                 startTasks();
-                complete(next, answer(next));
+                complete(next, handler.answer(next));
                 startTasks();
                 writeAnswers(Long.MAX_VALUE);
             } catch (IOException e) {
@@ -61,21 +61,6 @@
         }
     }
 
-    /** Returns the final answer to a query, also where answering it fails, as the queries behind it have to go on. */
-    private QueryReply answer(PipelineEntry entry) {
-        try {
-            return handler.answer(entry);
-        } catch (InterruptedException | RuntimeException | Error e) {
-            LOG.error("a query ends with an internal error", e);
-            InFlightRequest request = entry.inFlight();
-            if (request != null) {
-                dispatcher.abandon(request);
-            }
-            return QueryReply.of(ErrorResponse.error(
-                    ErrorResponse.STATEMENT_COMPLETION_UNKNOWN, "an internal error of the router; it may have run"));
-        }
-    }
-
     private void complete(PipelineEntry entry, QueryReply reply) {
         if (reply.refusesConnection()) {
             queue.refuse(this::refuseQuery);
