Send the writes of a flood test before its floods

Trace of: the floods that had begun kept the test's own thread, so the fourth write came when the primary, which takes 1.5 s for each answer here, had been silent for a while. The test is about what happens behind the writes; it took for granted that all four had been sent.

Now the four writes are sent at once and awaited at the host before the floods begin. What is asserted is as it was.

--- a/src/test/java/beaconladder/server/DisconnectedClientsIT.java
+++ b/src/test/java/beaconladder/server/DisconnectedClientsIT.java
@@ -167,11 +167,18 @@
         TestClient other = connect();
         query(other, write("warm", 2000));
         primary.delayMillis = 1_500;
+        List<TestClient> clients = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            clients.add(connect());
+        }
+        for (int i = 0; i < 4; i++) {
+            MessageWriter.query(write("flood" + i, 2000)).writeTo(clients.get(i).out);
+        }
+        // A write that comes after the floods may be held and rejected, as the primary is silent by then.
+        await(() -> receivedIds("flood").size() == 4);
         List<Thread> floods = new ArrayList<>();
         List<String> answers = Collections.synchronizedList(new ArrayList<>());
-        for (int i = 0; i < 4; i++) {
-            TestClient client = connect();
-            MessageWriter.query(write("flood" + i, 2000)).writeTo(client.out);
+        for (TestClient client : clients) {
             floods.add(StandInThreads.spawn(() -> {
                 sendUnreadableMessage(client);
                 sendUntilClosed(client);
