End a connection whose write fails on the reader's thread as on any other

The reader closed such a connection at once and by a reset, so that answers written before could be lost; a task's failure lets it linger. Both take the same way now, which abandons the requests apart from the reader. Failures of several tasks add up.

--- a/src/main/java/beaconladder/server/ClientConnection.java
+++ b/src/main/java/beaconladder/server/ClientConnection.java
@@ -234,10 +234,11 @@
         try {
             task.writeAnswers(System.nanoTime() + turnNanos);
         } catch (IOException e) {
-            close(CloseCause.CLIENT_BROKEN);
+            LOG.debug("a client connection failed: {}", e.toString());
+            task.failConnection(CloseCause.CLIENT_BROKEN);
         } catch (RuntimeException | Error e) {
-            LOG.error("closing a client connection after an internal error", e);
-            close(CloseCause.FAULT);
+            LOG.error("ending a client connection after an internal error", e);
+            task.failConnection(CloseCause.FAULT);
         }
         return channel.isOpen() && !end.closeIfLingered(System.nanoTime());
     }
--- a/src/main/java/beaconladder/server/ConnectionEnd.java
+++ b/src/main/java/beaconladder/server/ConnectionEnd.java
@@ -91,9 +91,9 @@
      *
      * @param unanswered the number of queries that have no answer
      */
-    void fail(CloseCause failure, int unanswered) {
+    synchronized void fail(CloseCause failure, int unanswered) {
         cause = failure;
-        droppedQueries = unanswered;
+        droppedQueries += unanswered;
         activity.markClosing();
         clientServer.requestAttention(client);
     }
--- a/src/main/java/beaconladder/server/RequestTask.java
+++ b/src/main/java/beaconladder/server/RequestTask.java
@@ -49,10 +49,12 @@
                 writeAnswers(Long.MAX_VALUE);
             } catch (IOException e) {
                 LOG.debug("a client connection failed: {}", e.toString());
-                failConnection(CloseCause.CLIENT_BROKEN, next);
+                failConnection(CloseCause.CLIENT_BROKEN);
+                releaseAbandonedId(next);
             } catch (RuntimeException | Error e) {
                 LOG.error("ending a client's connection after an internal error", e);
-                failConnection(CloseCause.FAULT, next);
+                failConnection(CloseCause.FAULT);
+                releaseAbandonedId(next);
             }
             client.activity().markUsed();
         }
@@ -111,13 +113,16 @@
         return rejected != null;
     }
 
-    /** Ends a connection that failed without further answers, and abandons its requests in flight. */
-    private void failConnection(CloseCause cause, PipelineEntry failed) {
+    /**
+     * Ends a connection that failed without further answers, and abandons its requests in flight. May be called by any
+     * thread.
+     */
+    void failConnection(CloseCause cause) {
         int unanswered = queue.unansweredQueries();
         List<PipelineEntry> dropped = queue.close();
         client.end().fail(cause, unanswered);
-        abandon(dropped);
-        releaseAbandonedId(failed);
+        markDisconnected(dropped);
+        runApartFromReader(() -> abandon(dropped));
     }
 
     /**
@@ -194,6 +199,17 @@
      */
     void onDisconnected() {
         List<PipelineEntry> entries = queue.close();
+        boolean hasRequests = markDisconnected(entries);
+        if (hasRequests || admission.connectionPermit() != null) {
+            runApartFromReader(() -> {
+                abandon(entries);
+                admission.releaseConnection();
+            });
+        }
+    }
+
+    /** Makes the requests of these entries known as abandoned; returns whether there are any. */
+    private static boolean markDisconnected(List<PipelineEntry> entries) {
         boolean hasRequests = false;
         for (PipelineEntry entry : entries) {
             InFlightRequest request = entry.inFlight();
@@ -202,12 +218,7 @@
                 hasRequests = true;
             }
         }
-        if (hasRequests || admission.connectionPermit() != null) {
-            runApartFromReader(() -> {
-                abandon(entries);
-                admission.releaseConnection();
-            });
-        }
+        return hasRequests;
     }
 
     /** Runs what takes the dispatcher's lock, for which the reader must not wait, on another thread if there is one. */
