Read a client's connection again where a signal has interrupted the read

Cause: a non-blocking SocketChannel returns -3 for an interrupted call (IOStatus.INTERRUPTED), and ClientConnection took any negative number for the end of the stream.

Change: the channel returns 0, as nothing has arrived; the selector reports the bytes again.

SystemCallsIT.interruptedReadsEndNoClientsConnection fails without it (broken pipe) and holds now.

--- a/src/main/java/beaconladder/server/ClientChannel.java
+++ b/src/main/java/beaconladder/server/ClientChannel.java
@@ -27,9 +27,13 @@
 
     /** A connection over a socket. */
     record OfSocket(SocketChannel channel) implements ClientChannel {
+        private static final int END_OF_STREAM = -1;
+
         @Override
         public int read(ByteBuffer target) throws IOException {
-            return channel.read(target);
+            int bytesRead = channel.read(target);
+            // The JDK returns a lower number where a signal has interrupted the call.
+            return bytesRead < END_OF_STREAM ? 0 : bytesRead;
         }
 
         @Override
--- a/src/test/java/beaconladder/server/SystemCallsIT.java
+++ b/src/test/java/beaconladder/server/SystemCallsIT.java
@@ -112,6 +112,33 @@
         assertThat(router.log()).doesNotContain("Exception in thread");
     }
 
+    /**
+     * Guards against a client that is taken for closed as a read of its connection was interrupted: the queries that
+     * had been read on it got no answer.
+     */
+    @Test
+    void interruptedReadsEndNoClientsConnection() throws Exception {
+        List<TestClient> clients = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            clients.add(connectWithTimeout());
+        }
+        List<String> answers = new ArrayList<>();
+        plan.set(Field.INTERRUPT_PER_MILLE, 200);
+        for (int round = 0; round < 20; round++) {
+            for (TestClient client : clients) {
+                MessageWriter.query(read(clients.indexOf(client) + "-" + round, 900))
+                        .append(MessageWriter.query(""))
+                        .writeTo(client.out);
+            }
+            for (TestClient client : clients) {
+                answers.add(answer(client));
+                answers.add(answer(client));
+            }
+        }
+        plan.clear();
+        assertThat(answers).hasSize(320).allMatch(answer -> answer.endsWith("Z"));
+    }
+
     /** Connects a client that waits for an answer for at most twice the time budget. */
     private TestClient connectWithTimeout() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), router.port);
