Close a client that let a time limit pass once it has the error, not later

Change: a client whose startup or message did not come in time has had its time.

LingeringCloseTest has a case of its own.

--- a/src/main/java/beaconladder/server/ClientTimeouts.java
+++ b/src/main/java/beaconladder/server/ClientTimeouts.java
@@ -52,8 +52,10 @@
     private void rejectOverdue(long nowNanoTime) {
         try {
             if (isStartupOverdue(nowNanoTime)) {
+                client.end().skipLinger();
                 reader.respond(StartupResponse.fatal(ErrorResponse.PROTOCOL_VIOLATION, "no startup message in time"));
             } else if (isMessageOverdue(nowNanoTime)) {
+                client.end().skipLinger();
                 reader.closeWithError("a message whose rest did not come in time");
             }
         } catch (IOException e) {
--- a/src/main/java/beaconladder/server/ConnectionEnd.java
+++ b/src/main/java/beaconladder/server/ConnectionEnd.java
@@ -81,6 +81,11 @@
         activity.markClosing();
     }
 
+    /** Closes the connection as soon as its answers are received, as its client has let a time limit pass. */
+    void skipLinger() {
+        lingeringClose.skipLinger();
+    }
+
     /** Records that the connection closes after the error that informs its client of an internal error. */
     void onFault() {
         cause = CloseCause.FAULT;
--- a/src/main/java/beaconladder/server/LingeringClose.java
+++ b/src/main/java/beaconladder/server/LingeringClose.java
@@ -22,6 +22,8 @@
     private boolean resets;
     /** Whether the client has ended its side of the connection. */
     private boolean clientEnded;
+    /** Whether the client has had its time, so that nothing more is waited for than the receipt of the answers. */
+    private boolean lingerSkipped;
     /** Whether the selector is to report when the client's system has received all answers. */
     private boolean flushAwaited;
 
@@ -52,6 +54,11 @@
         maxFlushNanos = maxNanos;
     }
 
+    /** Closes the connection as soon as its answers are received, as its client has let a time limit pass. */
+    void skipLinger() {
+        lingerSkipped = true;
+    }
+
     /** Whether what arrives is left unread. */
     boolean leavesUnread() {
         return leavesUnread;
@@ -92,7 +99,7 @@
 
     /** Whether the connection is to be closed this long after its last answer was written. */
     boolean isDue(long sinceLastAnswerNanos) {
-        boolean lingered = clientEnded || leavesUnread || sinceLastAnswerNanos > LINGER_NANOS;
+        boolean lingered = clientEnded || leavesUnread || lingerSkipped || sinceLastAnswerNanos > LINGER_NANOS;
         boolean received = flushed || sinceLastAnswerNanos > (resets ? FLUSH_TIMEOUT_NANOS : maxFlushNanos);
         return lingered && received;
     }
--- a/src/test/java/beaconladder/server/LingeringCloseTest.java
+++ b/src/test/java/beaconladder/server/LingeringCloseTest.java
@@ -38,6 +38,18 @@
         assertThat(lingeringClose.isDue(AFTER_LINGER_NANOS)).isTrue();
     }
 
+    /** Guards against a client that is closed late, as it has waited for its time limit already. */
+    @Test
+    void aClientThatHasLetATimeLimitPassIsClosedOnceItHasTheError() {
+        lingeringClose.skipLinger();
+        assertThat(lingeringClose.isDue(SOON_NANOS)).isTrue();
+        lingeringClose.onUnhandledBytes();
+        assertThat(lingeringClose.isDue(SOON_NANOS)).isFalse();
+        lingeringClose.onFlushReportRequested();
+        lingeringClose.onWritable();
+        assertThat(lingeringClose.isDue(SOON_NANOS)).isTrue();
+    }
+
     /** Guards against a client that sends without end after the final error. */
     @Test
     void whatArrivesAfterTheLastAnswerIsDiscardedUpToABound() {
